--- /dev/null
+++ b/source/platform/vm_control.h
@@ -0,0 +1,52 @@
+#ifndef MASTICPASS_PLATFORM_VM_CONTROL_H
+#define MASTICPASS_PLATFORM_VM_CONTROL_H
+
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "common/identifier.h"
+
+namespace masticpass {
+
+struct reboot_request {
+    vm_id vm;
+    operation_id operation;
+    // The run of the VM that the reboot ends.
+    boot_id expected_boot;
+    // The role into which the VM boots.
+    pool_name pool;
+};
+
+enum class reboot_error_kind {
+    boot_changed,     // The VM does not run `expected_boot` any more; the call had no effect.
+    unknown_vm,       // The platform has no such VM, or it is terminated; the call had no effect.
+    unavailable,      // The call had no effect.
+    unknown_outcome,  // The reboot may have started.
+};
+
+struct [[nodiscard]] reboot_error {
+    reboot_error_kind kind = reboot_error_kind::unknown_outcome;
+    std::string message;
+    // The VM's present boot identity if the kind is `boot_changed`.
+    boot_id present_boot;
+};
+
+// The platform's control of VMs.
+// Thread safety: all methods may be called from any thread.
+class vm_control {
+public:
+    vm_control() = default;
+    vm_control(const vm_control&) = delete;
+    vm_control& operator=(const vm_control&) = delete;
+    virtual ~vm_control() = default;
+
+    // Starts a graceful reboot: the VM finishes the requests that run on it, then boots with a new boot
+    // identity. The platform refuses the call unless the VM runs `expected_boot`, so a repeated or late call
+    // has no effect. Returns once the reboot was accepted, within the time limit of the implementation.
+    virtual tl::expected<void, reboot_error> reboot(const reboot_request& request) = 0;
+};
+
+}  // namespace masticpass
+
+#endif
