Add adapters for the store, the VM list and VM control over HTTP

The store adapter speaks the etcd v3 JSON gateway protocol. A write whose bytes may have left the process and that got no clear response is reported as an unknown outcome; a refused connection and the store's "no leader" error are reported as not applied.

--- /dev/null
+++ b/source/platform/etcd_gateway_store.cpp
@@ -0,0 +1,246 @@
+#include "platform/etcd_gateway_store.h"
+
+#include <utility>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include "common/clock.h"
+#include "platform/etcd_messages.h"
+#include "platform/text_view.h"
+
+namespace masticpass {
+
+namespace {
+
+constexpr int ok_status = 200;
+constexpr int not_found_status = 404;
+constexpr int payload_too_large_status = 413;
+constexpr int first_server_error_status = 500;
+
+// Decides the kind of an error response. The gateway reports most errors of the store only by their text.
+store_error_kind response_error_kind(int status, std::string_view message, bool is_write) {
+    if (status == payload_too_large_status || absl::StrContains(to_absl(message), "request is too large")) {
+        return store_error_kind::too_large;
+    }
+    if (status == not_found_status && absl::StrContains(to_absl(message), "lease not found")) {
+        return store_error_kind::not_found;
+    }
+    // The store refuses a request before it proposes the write if it has no leader. Other server errors, for
+    // example a timeout inside the store, leave the outcome open.
+    const bool refused =
+        status < first_server_error_status || absl::StrContains(to_absl(message), "no leader");
+    return is_write && !refused ? store_error_kind::unknown_outcome : store_error_kind::unavailable;
+}
+
+std::string error_text(std::string_view body) {
+    const auto message = etcd::parse_object(body);
+    if (!message) {
+        return std::string(body);
+    }
+    std::string text = etcd::string_member(*message, "message");
+    return text.empty() ? etcd::string_member(*message, "error") : text;
+}
+
+store_error to_store_error(const http_failure& failure, bool is_write) {
+    const bool unknown = is_write && failure.may_have_been_received;
+    return {.kind = unknown ? store_error_kind::unknown_outcome : store_error_kind::unavailable,
+            .message = failure.message};
+}
+
+// Splits a watch stream into its messages, one per line, until one of them has a result.
+class watch_stream_reader {
+public:
+    explicit watch_stream_reader(store_revision after_revision) { result_.revision = after_revision; }
+
+    // Returns false once the result is complete or the stream reported an error.
+    bool receive(std::string_view part) {
+        buffer_.append(part);
+        for (std::size_t end = buffer_.find('\n'); end != std::string::npos; end = buffer_.find('\n')) {
+            const std::string line = buffer_.substr(0, end);
+            buffer_.erase(0, end + 1);
+            if (!line.empty() && !receive_message(line)) {
+                return false;
+            }
+        }
+        if (buffer_.size() > maximum_message_bytes) {
+            error_ = "watch message is too long";
+        }
+        return error_.empty();
+    }
+
+    // The text that is not part of a complete message.
+    const std::string& rest() const { return buffer_; }
+    const std::string& error() const { return error_; }
+    watch_result take_result() { return std::move(result_); }
+
+private:
+    static constexpr std::size_t maximum_message_bytes = std::size_t{64} << 20U;
+
+    bool receive_message(const std::string& line) {
+        const auto message = etcd::parse_object(line);
+        if (!message) {
+            error_ = message.error();
+            return false;
+        }
+        if (etcd::add_watch_message(*message, result_)) {
+            return false;
+        }
+        const bool canceled = etcd::is_member_true(etcd::nested_member(*message, "result"), "canceled");
+        if (canceled || message->isMember("error")) {
+            error_ = absl::StrCat("watch ended: ", line);
+        }
+        return error_.empty();
+    }
+
+    std::string buffer_;
+    std::string error_;
+    watch_result result_;
+};
+
+}  // namespace
+
+etcd_gateway_store::etcd_gateway_store(std::string address, const platform_limits& limits)
+    : exchange_(std::move(address), limits) {}
+
+tl::expected<Json::Value, store_error> etcd_gateway_store::call(const char* path, std::string request,
+                                                                call_kind kind) {
+    const bool is_write = kind == call_kind::write;
+    const auto response = exchange_.post(path, std::move(request));
+    if (!response) {
+        return tl::make_unexpected(to_store_error(response.error(), is_write));
+    }
+    if (response->status != ok_status) {
+        std::string text = error_text(response->body);
+        const store_error_kind error_kind = response_error_kind(response->status, text, is_write);
+        return tl::make_unexpected(
+            store_error{.kind = error_kind, .message = absl::StrCat(response->status, " ", text)});
+    }
+    auto message = etcd::parse_object(response->body);
+    if (!message) {
+        return tl::make_unexpected(
+            store_error{.kind = is_write ? store_error_kind::unknown_outcome : store_error_kind::unavailable,
+                        .message = absl::StrCat("malformed response: ", message.error())});
+    }
+    return *std::move(message);
+}
+
+tl::expected<store_entry, store_error> etcd_gateway_store::read(std::string_view key) {
+    const auto response = call("/v3/kv/range", etcd::range_request(key, ""), call_kind::read);
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    const Json::Value& entries = etcd::nested_member(*response, "kvs");
+    if (!entries.isArray() || entries.empty()) {
+        return tl::make_unexpected(store_error{.kind = store_error_kind::not_found,
+                                               .message = absl::StrCat("no key ", to_absl(key))});
+    }
+    return etcd::parse_entry(entries[0]);
+}
+
+tl::expected<store_snapshot, store_error> etcd_gateway_store::read_prefix(std::string_view prefix) {
+    const std::string request = etcd::range_request(prefix, etcd::prefix_end(prefix));
+    const auto response = call("/v3/kv/range", request, call_kind::read);
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    store_snapshot snapshot;
+    snapshot.revision = etcd::header_revision(*response);
+    const Json::Value& entries = etcd::nested_member(*response, "kvs");
+    if (entries.isArray()) {
+        for (const Json::Value& entry : entries) {
+            snapshot.entries.push_back(etcd::parse_entry(entry));
+        }
+    }
+    return snapshot;
+}
+
+tl::expected<store_revision, store_error> etcd_gateway_store::transact(std::string request,
+                                                                       store_revision expected_revision) {
+    const auto response = call("/v3/kv/txn", std::move(request), call_kind::write);
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    const store_revision revision = etcd::header_revision(*response);
+    if (revision == 0) {
+        return tl::make_unexpected(store_error{.kind = store_error_kind::unknown_outcome,
+                                               .message = "transaction response without a revision"});
+    }
+    if (!etcd::is_member_true(*response, "succeeded")) {
+        return tl::make_unexpected(
+            store_error{.kind = store_error_kind::conflict,
+                        .message = absl::StrCat("revision is not ", expected_revision)});
+    }
+    return revision;
+}
+
+tl::expected<store_revision, store_error> etcd_gateway_store::compare_and_swap(
+    std::string_view key, store_revision expected_revision, std::string_view value, lease_id lease) {
+    if (value.size() > maximum_value_bytes) {
+        return tl::make_unexpected(
+            store_error{.kind = store_error_kind::too_large,
+                        .message = absl::StrCat(value.size(), " bytes for ", to_absl(key))});
+    }
+    return transact(etcd::put_request(key, expected_revision, value, lease), expected_revision);
+}
+
+tl::expected<void, store_error> etcd_gateway_store::compare_and_remove(std::string_view key,
+                                                                       store_revision expected_revision) {
+    const auto revision = transact(etcd::remove_request(key, expected_revision), expected_revision);
+    if (!revision) {
+        return tl::make_unexpected(revision.error());
+    }
+    return {};
+}
+
+tl::expected<watch_result, store_error> etcd_gateway_store::watch(std::string_view prefix,
+                                                                  store_revision after_revision,
+                                                                  absl::Duration timeout,
+                                                                  const std::stop_token& stop) {
+    const std::string request = etcd::watch_request(prefix, etcd::prefix_end(prefix), after_revision + 1);
+    watch_stream_reader reader(after_revision);
+    const auto status = exchange_.post_streamed("/v3/watch", request, timeout, stop,
+                                                [&](std::string_view part) { return reader.receive(part); });
+    if (!status) {
+        return tl::make_unexpected(to_store_error(status.error(), false));
+    }
+    if (*status != ok_status && *status != 0) {
+        return tl::make_unexpected(
+            store_error{.kind = store_error_kind::unavailable,
+                        .message = absl::StrCat(*status, " ", error_text(reader.rest()))});
+    }
+    if (!reader.error().empty()) {
+        return tl::make_unexpected(
+            store_error{.kind = store_error_kind::unavailable, .message = reader.error()});
+    }
+    return reader.take_result();
+}
+
+tl::expected<lease_id, store_error> etcd_gateway_store::grant_lease(absl::Duration time_to_live) {
+    const std::int64_t seconds = absl::ToInt64Seconds(absl::Ceil(time_to_live, absl::Seconds(1)));
+    const auto response = call("/v3/lease/grant", etcd::lease_grant_request(seconds), call_kind::write);
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    const std::int64_t id = etcd::integer_member(*response, "ID");
+    if (id == 0) {
+        return tl::make_unexpected(store_error{.kind = store_error_kind::unknown_outcome,
+                                               .message = "lease response without an id"});
+    }
+    return static_cast<lease_id>(id);
+}
+
+tl::expected<void, store_error> etcd_gateway_store::renew_lease(lease_id lease) {
+    const auto response = call("/v3/lease/keepalive", etcd::lease_keepalive_request(lease), call_kind::write);
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    // An expired lease is reported with a time to live of 0, which the gateway leaves out.
+    if (etcd::integer_member(etcd::nested_member(*response, "result"), "TTL") <= 0) {
+        return tl::make_unexpected(
+            store_error{.kind = store_error_kind::not_found, .message = "lease expired"});
+    }
+    return {};
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/platform/http_exchange.h
@@ -0,0 +1,80 @@
+#ifndef MASTICPASS_PLATFORM_HTTP_EXCHANGE_H
+#define MASTICPASS_PLATFORM_HTTP_EXCHANGE_H
+
+#include <functional>
+#include <memory>
+#include <stop_token>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <tl/expected.hpp>
+
+#include "platform/http_connection_settings.h"
+
+namespace httplib {
+class Client;
+struct Request;
+}  // namespace httplib
+
+namespace masticpass {
+
+struct http_response {
+    int status = 0;
+    std::string body;
+};
+
+struct [[nodiscard]] http_failure {
+    // False if no byte of the request left this process.
+    bool may_have_been_received = true;
+    std::string message;
+};
+
+// HTTP calls to one address over a few reused connections. A connection is dropped after any failure.
+// Thread safety: all methods may be called from any thread.
+class http_exchange {
+public:
+    // Receives parts of a response body. Returns false to end the call.
+    using body_receiver = std::function<bool(std::string_view)>;
+
+    // `address` is an IP address and port.
+    http_exchange(std::string address, const platform_limits& limits);
+    ~http_exchange();
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+
+    // Sends a request and returns the whole response within the limits.
+    tl::expected<http_response, http_failure> get(const std::string& path);
+    tl::expected<http_response, http_failure> post(const std::string& path, std::string json);
+
+    // Sends a request on a connection of its own and hands over the body as it arrives, until the receiver
+    // returns false, `timeout` passes, or `stop` is requested. Returns the HTTP status, 0 if stopped before
+    // it was known. A stream that ends for another reason is a failure.
+    tl::expected<int, http_failure> post_streamed(const std::string& path, std::string json,
+                                                  absl::Duration timeout, const std::stop_token& stop,
+                                                  const body_receiver& receiver);
+
+private:
+    struct idle_connection {
+        std::unique_ptr<httplib::Client> client;
+        absl::Time since;
+    };
+
+    std::unique_ptr<httplib::Client> make_client() const;
+    std::unique_ptr<httplib::Client> take_client();
+    void give_back(std::unique_ptr<httplib::Client> client);
+    tl::expected<http_response, http_failure> exchange(httplib::Request& request);
+
+    const std::string address_;
+    const platform_limits limits_;
+    absl::Mutex mutex_;
+    // The connection used last is at the back.
+    std::vector<idle_connection> idle_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/platform/http_vm_control.cpp
@@ -0,0 +1,61 @@
+#include "platform/http_vm_control.h"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "platform/etcd_messages.h"
+#include "platform/url_escape.h"
+
+namespace masticpass {
+
+namespace {
+
+constexpr int first_success_status = 200;
+constexpr int first_redirect_status = 300;
+constexpr int not_found_status = 404;
+constexpr int conflict_status = 409;
+constexpr int first_server_error_status = 500;
+
+reboot_error to_reboot_error(const http_response& response) {
+    reboot_error error;
+    error.message = absl::StrCat("status ", response.status);
+    if (response.status == conflict_status) {
+        error.kind = reboot_error_kind::boot_changed;
+        if (const auto body = etcd::parse_object(response.body)) {
+            error.present_boot = boot_id(etcd::string_member(*body, "boot_id"));
+        }
+    } else if (response.status == not_found_status) {
+        error.kind = reboot_error_kind::unknown_vm;
+    } else if (response.status < first_server_error_status) {
+        error.kind = reboot_error_kind::unavailable;
+    }
+    return error;
+}
+
+}  // namespace
+
+http_vm_control::http_vm_control(std::string address, const platform_limits& limits)
+    : exchange_(std::move(address), limits) {}
+
+tl::expected<void, reboot_error> http_vm_control::reboot(const reboot_request& request) {
+    Json::Value body;
+    body["operation_id"] = request.operation.value();
+    body["expected_boot_id"] = request.expected_boot.value();
+    body["pool"] = request.pool.value();
+    const std::string path = absl::StrCat("/vms/", url_escape(request.vm.value()), "/reboot");
+    const auto response = exchange_.post(path, etcd::to_text(body));
+    if (!response) {
+        const http_failure& failure = response.error();
+        return tl::make_unexpected(reboot_error{.kind = failure.may_have_been_received
+                                                            ? reboot_error_kind::unknown_outcome
+                                                            : reboot_error_kind::unavailable,
+                                                .message = failure.message});
+    }
+    if (response->status >= first_success_status && response->status < first_redirect_status) {
+        return {};
+    }
+    return tl::make_unexpected(to_reboot_error(*response));
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/platform/http_vm_control.h
@@ -0,0 +1,26 @@
+#ifndef MASTICPASS_PLATFORM_HTTP_VM_CONTROL_H
+#define MASTICPASS_PLATFORM_HTTP_VM_CONTROL_H
+
+#include <string>
+
+#include "platform/http_exchange.h"
+#include "platform/vm_control.h"
+
+namespace masticpass {
+
+// Adapter to the platform's VM control, `POST /vms/{vm}/reboot`.
+// Thread safety: all methods may be called from any thread.
+class http_vm_control final : public vm_control {
+public:
+    // `address` is the IP address and port of the platform.
+    explicit http_vm_control(std::string address, const platform_limits& limits = {});
+
+    tl::expected<void, reboot_error> reboot(const reboot_request& request) override;
+
+private:
+    http_exchange exchange_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/platform/http_vm_list.cpp
@@ -0,0 +1,79 @@
+#include "platform/http_vm_list.h"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "platform/etcd_messages.h"
+#include "platform/url_escape.h"
+
+namespace masticpass {
+
+namespace {
+
+constexpr int ok_status = 200;
+constexpr int not_modified_status = 304;
+
+tl::expected<listed_vm, vm_list_error> parse_vm(const Json::Value& value) {
+    const std::string vm = etcd::string_member(value, "vm");
+    const std::string state_name = etcd::string_member(value, "state");
+    const auto state = parse_vm_state(state_name);
+    if (vm.empty() || !state) {
+        return tl::make_unexpected(
+            vm_list_error{absl::StrCat("malformed VM \"", vm, "\" with state \"", state_name, "\"")});
+    }
+    return listed_vm{.vm = vm_id(vm),
+                     .zone = zone_name(etcd::string_member(value, "zone")),
+                     .rack = rack_name(etcd::string_member(value, "rack")),
+                     .address = etcd::string_member(value, "address"),
+                     .boot = boot_id(etcd::string_member(value, "boot_id")),
+                     .pool = pool_name(etcd::string_member(value, "pool")),
+                     .state = *state};
+}
+
+tl::expected<vm_listing, vm_list_error> parse_listing(std::string_view body) {
+    const auto message = etcd::parse_object(body);
+    if (!message || !etcd::nested_member(*message, "vms").isArray()) {
+        return tl::make_unexpected(vm_list_error{"malformed VM list"});
+    }
+    vm_listing listing;
+    listing.index = etcd::integer_member(*message, "index");
+    for (const Json::Value& value : (*message)["vms"]) {
+        auto vm = parse_vm(value);
+        if (!vm) {
+            return tl::make_unexpected(vm.error());
+        }
+        listing.vms.push_back(*std::move(vm));
+    }
+    return listing;
+}
+
+}  // namespace
+
+http_vm_list::http_vm_list(std::string address, const platform_limits& limits)
+    : exchange_(std::move(address), limits) {}
+
+tl::expected<std::optional<vm_listing>, vm_list_error> http_vm_list::list(
+    const zone_name& zone, std::optional<std::int64_t> known_index) {
+    std::string path = absl::StrCat("/vms?zone=", url_escape(zone.value()));
+    if (known_index) {
+        absl::StrAppend(&path, "&index=", *known_index);
+    }
+    const auto response = exchange_.get(path);
+    if (!response) {
+        return tl::make_unexpected(vm_list_error{response.error().message});
+    }
+    if (response->status == not_modified_status) {
+        return std::nullopt;
+    }
+    if (response->status != ok_status) {
+        return tl::make_unexpected(vm_list_error{absl::StrCat("status ", response->status)});
+    }
+    auto listing = parse_listing(response->body);
+    if (!listing) {
+        return tl::make_unexpected(listing.error());
+    }
+    return *std::move(listing);
+}
+
+}  // namespace masticpass
