--- /dev/null
+++ b/source/http/client.h
@@ -0,0 +1,29 @@
+#ifndef MASTICPASS_HTTP_CLIENT_H
+#define MASTICPASS_HTTP_CLIENT_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <absl/time/time.h>
+#include <httplib.h>
+
+namespace masticpass {
+
+// Limits of an HTTP client. The library's own connect limit is 300 s.
+struct http_client_options {
+    absl::Duration connect_limit = absl::Seconds(1);
+    // Limits of one read and one write, not of the whole call.
+    absl::Duration read_limit = absl::Seconds(5);
+    absl::Duration write_limit = absl::Seconds(5);
+    bool keep_alive = true;
+};
+
+// A client of one server. It follows no redirect, uses no proxy and does not compress.
+// Thread safety: one call at a time for each client.
+std::unique_ptr<httplib::Client> create_http_client(const std::string& ip, std::uint16_t port,
+                                                    const http_client_options& options);
+
+}  // namespace masticpass
+
+#endif
