--- /dev/null
+++ b/source/decision/placement/move_round.cpp
@@ -0,0 +1,200 @@
+#include "decision/placement/move_round.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace masticpass {
+
+namespace {
+
+bool permits_zone(const placement_pool& pool, const zone_name& zone) {
+    return pool.zones.empty() || std::find(pool.zones.begin(), pool.zones.end(), zone) != pool.zones.end();
+}
+
+bool lasted(const std::optional<absl::Time>& since, absl::Duration duration, absl::Time now) {
+    return since && now - *since >= duration;
+}
+
+}  // namespace
+
+move_round::move_round(absl::btree_map<pool_name, planned_pool>& pools, absl::Span<const team_quota> quotas,
+                       const placement_policy& policy, absl::Time now)
+    : pools_(pools), policy_(policy), now_(now) {
+    quotas_.set_quotas(quotas);
+    for (auto& [name, pool] : pools_) {
+        quotas_.add_use(pool.input.team, quota_use(pool.input));
+        const bool short_of_vms =
+            pool.assessment.shortage_vms > 0 && lasted(pool.clocks.short_since, policy_.grow_after, now_);
+        const bool has_surplus = lasted(pool.clocks.surplus_since, policy_.shrink_after, now_);
+        if (!short_of_vms && !has_surplus && !pool.input.spare) {
+            continue;
+        }
+        const auto index = participants_.size();
+        participants_.push_back(enter(pool));
+        if (short_of_vms) {
+            receivers_.push_back(index);
+        }
+        if (pool.input.spare) {
+            spares_.push_back(index);
+        } else if (has_surplus) {
+            participants_.back().surplus_vms = pool.clocks.held_surplus_vms;
+            surplus_donors_.push_back(index);
+        }
+    }
+}
+
+std::vector<planned_move> move_round::choose() {
+    const auto importance = [this](std::size_t index) {
+        const auto& pool = *participants_[index].pool;
+        const double missing_share =
+            static_cast<double>(pool.assessment.shortage_vms) / std::max(pool.assessment.target_vms, 1);
+        return std::tuple(!pool.input.urgent, -missing_share, index);
+    };
+    std::sort(receivers_.begin(), receivers_.end(),
+              [&](std::size_t a, std::size_t b) { return importance(a) < importance(b); });
+    std::stable_sort(surplus_donors_.begin(), surplus_donors_.end(), [this](std::size_t a, std::size_t b) {
+        return participants_[a].surplus_vms > participants_[b].surplus_vms;
+    });
+    fill_shortages();
+    refill_buffers();
+    for (const auto index : surplus_donors_) {
+        const auto& donor = participants_[index];
+        if (donor.given_vms > 0) {
+            // What remains must last again, so a pool shrinks in steps. The next inputs lower the figure by
+            // what has left.
+            donor.pool->clocks.surplus_since = now_;
+            donor.pool->clocks.held_surplus_vms = donor.pool->assessment.surplus_vms;
+        }
+    }
+    return std::move(moves_);
+}
+
+move_round::participant move_round::enter(planned_pool& pool) const {
+    return {&pool, capacity_of(pool.input), unavailable_of(pool.input), settled_size(pool.input), 0, 0, {}};
+}
+
+bool move_round::is_short(const participant& receiver) const {
+    return deficit_of(receiver.pool->input, policy_, receiver.capacity).sum() > 0;
+}
+
+bool move_round::can_give(const participant& donor, const placement_vm& vm) const {
+    const auto& pool = donor.pool->input;
+    if (vm.state != placement_vm_state::serving || !vm.movable) {
+        return false;
+    }
+    if (donor.settled_size <= pool.minimum_vms || !budget_permits(pool.budget, donor.unavailable, vm)) {
+        return false;
+    }
+    auto remaining = donor.capacity;
+    remaining.add(vm, -1);
+    return deficit_of(pool, policy_, remaining, pool.spare ? 1.0 : 1 + policy_.shrink_band).sum() == 0;
+}
+
+bool move_round::accepts(const participant& receiver, const placement_vm& vm, move_cause cause) const {
+    const auto& pool = receiver.pool->input;
+    if (!permits_zone(pool, vm.zone)) {
+        return false;
+    }
+    if (cause == move_cause::buffer_refill) {
+        return true;
+    }
+    auto increased = receiver.capacity;
+    increased.add(vm, 1);
+    return deficit_of(pool, policy_, increased).sum() < deficit_of(pool, policy_, receiver.capacity).sum();
+}
+
+std::size_t move_round::best_vm(const participant& donor, const participant& receiver,
+                                move_cause cause) const {
+    const auto& vms = donor.pool->input.vms;
+    const auto spread = [&](const placement_vm& vm) {
+        return std::tuple(receiver.capacity.in_zone(vm.zone), receiver.capacity.in_rack(vm.zone, vm.rack),
+                          -donor.capacity.in_zone(vm.zone), -donor.capacity.in_rack(vm.zone, vm.rack));
+    };
+    auto best = vms.size();
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        const auto& vm = vms[index];
+        if (donor.leaving.contains(index) || !can_give(donor, vm) || !accepts(receiver, vm, cause)) {
+            continue;
+        }
+        // The id decides between equal VMs, so that the order of the input does not matter.
+        if (best == vms.size() ||
+            std::tuple(spread(vm), vm.vm) < std::tuple(spread(vms[best]), vms[best].vm)) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+bool move_round::fill_one(participant& receiver, move_cause cause) {
+    const auto& target = receiver.pool->input;
+    const auto take_from = [&](participant& donor) {
+        const auto& source = donor.pool->input;
+        if (&donor == &receiver || !quotas_.permits_move(source.team, target.team)) {
+            return false;
+        }
+        const auto index = best_vm(donor, receiver, cause);
+        if (index == source.vms.size()) {
+            return false;
+        }
+        const auto& vm = source.vms[index];
+        donor.leaving.insert(index);
+        donor.capacity.add(vm, -1);
+        donor.unavailable.add(vm, 1);
+        --donor.settled_size;
+        ++donor.given_vms;
+        receiver.capacity.add(vm, 1);
+        quotas_.count_move(source.team, target.team);
+        moves_.push_back({vm.vm, source.pool, target.pool, cause});
+        return true;
+    };
+    if (std::cmp_greater_equal(moves_.size(), policy_.max_moves_per_round)) {
+        return false;
+    }
+    // The buffer exists for shortages, and a surplus elsewhere is used when the buffer is empty. A refill
+    // that took from another spare pool would only shift the gap.
+    if (cause == move_cause::shortage) {
+        for (const auto index : spares_) {
+            if (take_from(participants_[index])) {
+                return true;
+            }
+        }
+    }
+    for (const auto index : surplus_donors_) {
+        auto& donor = participants_[index];
+        if (donor.given_vms < donor.surplus_vms && take_from(donor)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void move_round::fill_shortages() {
+    std::vector<std::size_t> waiting;
+    for (const auto index : receivers_) {
+        auto& receiver = participants_[index];
+        if (!receiver.pool->input.urgent) {
+            waiting.push_back(index);
+            continue;
+        }
+        while (is_short(receiver) && fill_one(receiver, move_cause::shortage)) {
+        }
+    }
+    // One VM per pool and pass, so that the first pool does not use up the buffer.
+    while (!waiting.empty()) {
+        std::erase_if(waiting, [this](std::size_t index) {
+            auto& receiver = participants_[index];
+            return !is_short(receiver) || !fill_one(receiver, move_cause::shortage);
+        });
+    }
+}
+
+void move_round::refill_buffers() {
+    for (const auto index : spares_) {
+        auto& spare = participants_[index];
+        while (spare.capacity.total() < spare.pool->assessment.target_vms &&
+               fill_one(spare, move_cause::buffer_refill)) {
+        }
+    }
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/placement/pool_assessment.cpp
@@ -0,0 +1,162 @@
+#include "decision/placement/pool_assessment.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include <absl/container/flat_hash_set.h>
+
+namespace masticpass {
+
+namespace {
+
+// Keeps a demand that is a whole number of VMs from being rounded up to one more.
+constexpr double rounding_tolerance = 1e-9;
+
+int vms_for(double slots, int slots_per_vm) {
+    return static_cast<int>(std::ceil(slots / std::max(slots_per_vm, 1) - rounding_tolerance));
+}
+
+int zones_of(const placement_pool& pool) {
+    if (!pool.zones.empty()) {
+        return static_cast<int>(pool.zones.size());
+    }
+    absl::flat_hash_set<zone_name> zones;
+    for (const auto& vm : pool.vms) {
+        zones.insert(vm.zone);
+    }
+    return static_cast<int>(zones.size());
+}
+
+int target_of(const placement_pool& pool, const placement_policy& policy) {
+    const int after_loss = vms_for(pool.sustained_slots * policy.headroom_after_loss, pool.slots_per_vm);
+    int target =
+        std::max(pool.minimum_vms, vms_for(pool.sustained_slots * policy.headroom, pool.slots_per_vm));
+    if (pool.survive_rack && after_loss > 0) {
+        target = std::max(target, after_loss + 1);
+    }
+    const int zones = zones_of(pool);
+    // With one zone no size survives its loss.
+    if (pool.survive_zone && zones > 1) {
+        while (target - (target + zones - 1) / zones < after_loss) {
+            ++target;
+        }
+    }
+    return target + (pool.spare ? pool.buffer_vms : 0);
+}
+
+// The movable VM in the largest zone, and in the largest rack of that zone; null if no VM may leave.
+const placement_vm* most_crowded(absl::Span<const placement_vm* const> candidates,
+                                 const domain_counts& capacity) {
+    const placement_vm* best = nullptr;
+    std::pair<int, int> best_counts;
+    for (const auto* vm : candidates) {
+        const std::pair counts(capacity.in_zone(vm->zone), capacity.in_rack(vm->zone, vm->rack));
+        if (best == nullptr || counts > best_counts) {
+            best = vm;
+            best_counts = counts;
+        }
+    }
+    return best;
+}
+
+int surplus_of(const placement_pool& pool, const placement_policy& policy, domain_counts capacity) {
+    const double factor = 1 + policy.shrink_band;
+    const int above_demand =
+        capacity.total() -
+        std::max(vms_for(pool.sustained_slots * factor * policy.headroom, pool.slots_per_vm),
+                 pool.minimum_vms);
+    const int above_minimum = settled_size(pool) - pool.minimum_vms;
+    const int limit = std::min(above_demand, above_minimum);
+    if (pool.spare || limit <= 0) {
+        return 0;
+    }
+    std::vector<const placement_vm*> candidates;
+    for (const auto& vm : pool.vms) {
+        if (vm.state == placement_vm_state::serving && vm.movable) {
+            candidates.push_back(&vm);
+        }
+    }
+    int surplus = 0;
+    while (surplus < limit) {
+        const auto* vm = most_crowded(candidates, capacity);
+        if (vm == nullptr) {
+            break;
+        }
+        capacity.add(*vm, -1);
+        if (deficit_of(pool, policy, capacity, factor).sum() > 0) {
+            break;
+        }
+        std::erase(candidates, vm);
+        ++surplus;
+    }
+    return surplus;
+}
+
+}  // namespace
+
+int pool_deficit::largest() const {
+    return std::max({demand_vms, rack_loss_vms, zone_loss_vms});
+}
+
+pool_deficit deficit_of(const placement_pool& pool, const placement_policy& policy,
+                        const domain_counts& capacity, double demand_factor) {
+    const double slots = pool.sustained_slots * demand_factor;
+    const int needed = std::max(pool.minimum_vms, vms_for(slots * policy.headroom, pool.slots_per_vm));
+    const int after_loss = vms_for(slots * policy.headroom_after_loss, pool.slots_per_vm);
+    pool_deficit deficit;
+    deficit.demand_vms = std::max(0, needed - capacity.total());
+    if (pool.survive_rack) {
+        deficit.rack_loss_vms = std::max(0, after_loss - (capacity.total() - capacity.largest_rack()));
+    }
+    if (pool.survive_zone) {
+        deficit.zone_loss_vms = std::max(0, after_loss - (capacity.total() - capacity.largest_zone()));
+    }
+    return deficit;
+}
+
+demand_split split_demand(const placement_pool& pool, double current_slots) {
+    const auto serving = std::count_if(pool.vms.begin(), pool.vms.end(), [](const placement_vm& vm) {
+        return vm.state == placement_vm_state::serving;
+    });
+    const auto capacity = static_cast<double>(serving) * pool.slots_per_vm;
+    demand_split split;
+    split.held_slots = std::min(current_slots, capacity);
+    const double excess = current_slots - split.held_slots;
+    split.moves_slots = std::min(excess, std::max(0.0, pool.sustained_slots - capacity));
+    split.queued_slots = excess - split.moves_slots;
+    return split;
+}
+
+pool_assessment assess_pool(const placement_pool& pool, const placement_policy& policy) {
+    const auto capacity = capacity_of(pool);
+    pool_assessment result;
+    result.target_vms = target_of(pool, policy);
+    result.shortage_vms = deficit_of(pool, policy, capacity).largest();
+    if (pool.spare) {
+        result.buffer_shortage_vms = std::max(0, result.target_vms - capacity.total());
+    }
+    if (result.shortage_vms == 0) {
+        result.surplus_vms = surplus_of(pool, policy, capacity);
+    }
+    return result;
+}
+
+void update_clocks(pool_clocks& clocks, const pool_assessment& assessment, absl::Time now) {
+    if (assessment.shortage_vms == 0) {
+        clocks.short_since.reset();
+    } else if (!clocks.short_since) {
+        clocks.short_since = now;
+    }
+    if (assessment.surplus_vms == 0) {
+        clocks.surplus_since.reset();
+        clocks.held_surplus_vms = 0;
+    } else if (!clocks.surplus_since) {
+        clocks.surplus_since = now;
+        clocks.held_surplus_vms = assessment.surplus_vms;
+    } else {
+        clocks.held_surplus_vms = std::min(clocks.held_surplus_vms, assessment.surplus_vms);
+    }
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/placement/pool_assessment.h
@@ -0,0 +1,83 @@
+#ifndef MASTICPASS_DECISION_PLACEMENT_POOL_ASSESSMENT_H
+#define MASTICPASS_DECISION_PLACEMENT_POOL_ASSESSMENT_H
+
+#include <optional>
+
+#include <absl/time/time.h>
+
+#include "common/identifier.h"
+#include "decision/placement/placement_input.h"
+#include "decision/placement/pool_spread.h"
+
+namespace masticpass {
+
+// What a pool needs, from its own inputs only, so it is computed again only when they change.
+struct pool_assessment {
+    // VMs that the sustained demand and the declared losses need with an even spread, plus the shared buffer.
+    int target_vms = 0;
+    // VMs missing for the sustained demand or the declared losses with the present spread.
+    int shortage_vms = 0;
+    // VMs missing in a spare pool's shared buffer.
+    int buffer_shortage_vms = 0;
+    // VMs that the pool can give away and still hold a demand higher by the shrink band.
+    int surplus_vms = 0;
+
+    friend bool operator==(const pool_assessment&, const pool_assessment&) = default;
+};
+
+// Since when a pool is short or in surplus.
+struct pool_clocks {
+    std::optional<absl::Time> short_since = std::nullopt;
+    std::optional<absl::Time> surplus_since = std::nullopt;
+    // The least surplus since `surplus_since`; no more may be given away.
+    int held_surplus_vms = 0;
+
+    friend bool operator==(const pool_clocks&, const pool_clocks&) = default;
+};
+
+// A pool's inputs with what was computed from them.
+struct planned_pool {
+    placement_pool input;
+    pool_assessment assessment;
+    pool_clocks clocks;
+};
+
+// Demand of a pool, split by what can help with it.
+struct demand_split {
+    // Held by the slots that serve now.
+    double held_slots = 0;
+    // Sustained demand beyond the present slots: moves help.
+    double moves_slots = 0;
+    // Demand beyond the sustained demand and the present slots: it ends before a move does, so it is left to
+    // spill-over between zones, queues and refusals.
+    double queued_slots = 0;
+};
+
+// Splits a demand of `current_slots` at a pool.
+demand_split split_demand(const placement_pool& pool, double current_slots);
+
+// Assesses one pool. It is a pure function of its arguments.
+pool_assessment assess_pool(const placement_pool& pool, const placement_policy& policy);
+
+// Starts, keeps or clears the clocks. Calling it again with an unchanged assessment changes nothing.
+void update_clocks(pool_clocks& clocks, const pool_assessment& assessment, absl::Time now);
+
+// VMs that a pool misses, counted apart for each requirement, each at least 0.
+struct pool_deficit {
+    int demand_vms = 0;
+    int rack_loss_vms = 0;
+    int zone_loss_vms = 0;
+
+    // VMs that end the shortage if all of them are in domains other than the largest.
+    int largest() const;
+    // Falls whenever a VM helps with any requirement.
+    int sum() const { return demand_vms + rack_loss_vms + zone_loss_vms; }
+};
+
+// What the pool misses with the VMs in `capacity` for its sustained demand times `demand_factor`.
+pool_deficit deficit_of(const placement_pool& pool, const placement_policy& policy,
+                        const domain_counts& capacity, double demand_factor = 1.0);
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/placement/quota_check.h
@@ -0,0 +1,50 @@
+#ifndef MASTICPASS_DECISION_PLACEMENT_QUOTA_CHECK_H
+#define MASTICPASS_DECISION_PLACEMENT_QUOTA_CHECK_H
+
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+
+#include "common/identifier.h"
+#include "decision/placement/placement_input.h"
+
+namespace masticpass {
+
+// A team whose pools have more VMs than its quota.
+struct quota_excess {
+    team_name team;
+    int quota_vms = 0;
+    int used_vms = 0;
+
+    friend bool operator==(const quota_excess&, const quota_excess&) = default;
+};
+
+// VMs that count against a team's quota: those that its pools list, including those on their way out and in.
+// A VM that moves counts for both teams until the move ends, so neither team can exceed its quota meanwhile.
+int quota_use(const placement_pool& pool);
+
+// The teams above their quota, in the order of `quotas`. Teams without a quota are not limited.
+std::vector<quota_excess> quota_check(absl::Span<const team_quota> quotas,
+                                      absl::Span<const placement_pool> pools);
+
+// Counts the VMs of each team while moves are planned.
+// Ownership: the planner. Thread safety: none, the caller serializes access.
+class quota_ledger {
+public:
+    void set_quotas(absl::Span<const team_quota> quotas);
+    void add_use(const team_name& team, int vms);
+
+    // True if a VM may move between pools of these teams. A move within a team is always permitted.
+    bool permits_move(const team_name& from, const team_name& to) const;
+    // Counts a planned move: the receiving team has the VM in addition from now on.
+    void count_move(const team_name& from, const team_name& to);
+
+private:
+    absl::flat_hash_map<team_name, int> quota_;
+    absl::flat_hash_map<team_name, int> used_;
+};
+
+}  // namespace masticpass
+
+#endif
