--- /dev/null
+++ b/source/decision/maintenance/budget_check.h
@@ -0,0 +1,70 @@
+#ifndef MASTICPASS_DECISION_MAINTENANCE_BUDGET_CHECK_H
+#define MASTICPASS_DECISION_MAINTENANCE_BUDGET_CHECK_H
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "decision/maintenance/pool_record.h"
+
+namespace masticpass {
+
+// How much of a pool may be unavailable at the same time. An absent limit does not restrict.
+struct pool_budget {
+    int max_unavailable = 1;
+    std::optional<int> max_unavailable_per_zone = std::nullopt;
+    std::optional<int> max_unavailable_per_rack = std::nullopt;
+    // Zones or racks that may have unavailable VMs at the same time.
+    std::optional<int> max_zones_unavailable = std::nullopt;
+    std::optional<int> max_racks_unavailable = std::nullopt;
+};
+
+// What the maintenance decisions need of a pool's declared configuration.
+struct pool_limits {
+    pool_budget budget;
+    int minimum_vms = 0;
+};
+
+// VMs that the agent sees failed, leaving, unreachable or ejected. They count in addition to the record's
+// phases.
+using unavailable_vms = std::set<vm_id>;
+
+// Counts of unavailable VMs of one pool. VMs that the pool lacks below `minimum_vms` count in `total`, so
+// that the removal of terminated VMs does not make room for further disruption.
+class unavailability {
+public:
+    unavailability(const pool_record& record, const unavailable_vms& observed, int minimum_vms);
+
+    // Adds a serving VM that is about to be disrupted.
+    void add(const pool_vm& vm);
+
+    int total() const { return total_; }
+    int in_zone(const zone_name& zone) const;
+    int in_rack(const rack_name& rack) const;
+
+    // The limit that the counts exceed, in words; nullopt if the budget holds.
+    std::optional<std::string> exceeded(const pool_budget& budget) const;
+
+    // True if the budget still holds after add(vm).
+    bool has_room_for(const pool_vm& vm, const pool_budget& budget) const;
+
+private:
+    int total_ = 0;
+    std::map<zone_name, int> zones_;
+    std::map<rack_name, int> racks_;
+};
+
+// True for a VM that the pool's budget counts by its phase alone.
+bool is_unavailable_by_phase(const pool_vm& vm);
+
+// Refuses a budget that no wave can satisfy: a limit below one, or so few VMs below `minimum_vms` that the
+// missing ones use up the budget. `vm_count` is the number of VMs of the pool, nullopt if unknown. The error
+// gives the reason.
+tl::expected<void, std::string> check_satisfiable(const pool_limits& limits, std::optional<int> vm_count);
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/maintenance/transition.h
@@ -0,0 +1,85 @@
+#ifndef MASTICPASS_DECISION_MAINTENANCE_TRANSITION_H
+#define MASTICPASS_DECISION_MAINTENANCE_TRANSITION_H
+
+#include <cstdint>
+#include <string>
+
+#include <absl/time/time.h>
+#include <tl/expected.hpp>
+
+#include "decision/maintenance/budget_check.h"
+#include "decision/maintenance/pool_record.h"
+
+namespace masticpass {
+
+enum class transition_error_kind {
+    unknown_vm,
+    wrong_phase,
+    wrong_operation,
+    budget_exceeded,
+    below_minimum,
+    stale_evidence,
+    not_owner,
+    already_listed,
+};
+
+struct transition_error {
+    transition_error_kind kind;
+    std::string message;
+};
+
+// The changed record, to be written by compare-and-swap at the revision of the record passed in.
+using transition_result = tl::expected<pool_record, transition_error>;
+
+// Who makes a change and when.
+struct operation_context {
+    operation_id operation;
+    incarnation_id actor;
+    absl::Time now;
+};
+
+// A sighting of a VM: its boot identity, the role it runs, and the index of the VM list that showed both.
+struct boot_evidence {
+    boot_id boot;
+    pool_name role;
+    std::int64_t list_index = 0;
+};
+
+// `serving` to `reserved`, if the budget has room for the VM beside everything unavailable.
+transition_result reserve(const pool_record& record, const vm_id& vm, const wave_name& wave,
+                          const operation_context& context, const pool_limits& limits,
+                          const unavailable_vms& observed);
+
+// `reserved` to `acting`. Precondition: the VM is drained. Checks the budget again, because VMs may have
+// failed since the reservation. `present` is the boot identity that the reboot is to end.
+transition_result begin_action(const pool_record& record, const vm_id& vm, const operation_context& context,
+                               const boot_evidence& present, const pool_limits& limits,
+                               const unavailable_vms& observed);
+
+// `acting` to `serving`. Needs a boot identity newer than the stored one, in the role of this pool.
+// Precondition: the VM answers health probes.
+transition_result release(const pool_record& record, const vm_id& vm, const boot_evidence& seen,
+                          absl::Time now);
+
+// Replaces the stored boot identity of a VM on its way in that restarted by itself in its old role, so that
+// the reboot into the new role can be called again.
+transition_result renew_action(const pool_record& record, const vm_id& vm, const boot_evidence& seen);
+
+// `reserved` back to `serving`, if `operation` is the one that reserved it.
+transition_result withdraw(const pool_record& record, const vm_id& vm, const operation_id& operation,
+                           absl::Time now);
+
+// `serving` or `reserved` to `failed`. `last_seen` is the last boot identity known.
+transition_result mark_failed(const pool_record& record, const vm_id& vm, const boot_evidence& last_seen,
+                              absl::Time now);
+
+// `failed` to `serving` on a newer boot identity in the role of this pool.
+transition_result recover(const pool_record& record, const vm_id& vm, const boot_evidence& seen,
+                          absl::Time now);
+
+// Removes a VM that the VM list reports as terminated, in any phase.
+transition_result remove_terminated(const pool_record& record, const vm_id& vm);
+
+}  // namespace masticpass
+
+#endif
