--- /dev/null
+++ b/source/decision/serving/class_share.h
@@ -0,0 +1,46 @@
+#ifndef MASTICPASS_DECISION_SERVING_CLASS_SHARE_H
+#define MASTICPASS_DECISION_SERVING_CLASS_SHARE_H
+
+#include <absl/time/time.h>
+
+namespace masticpass {
+
+// Divides the slots of one service between short and long work: slots kept free for short work by its
+// measured load, and a guaranteed share for long work. Thread safety: none; the caller holds a lock. `now`
+// must not go back.
+class class_share {
+public:
+    explicit class_share(double long_share);
+
+    // Records that short work with this expected slot time arrived.
+    void short_arrived(absl::Duration work, absl::Time now);
+
+    // Records the slots in use from `now` on.
+    void running_changed(int long_running, int slots, absl::Time now);
+
+    // Whether long work may take a slot while no short work waits.
+    bool long_may_start(int long_running, int slots, absl::Time now) const;
+
+    // Whether long work is to go before waiting short work.
+    bool long_is_owed(int long_running, int slots, absl::Time now) const;
+
+    // Slots that long work leaves to short work.
+    int kept_for_short(int slots, absl::Time now) const;
+
+private:
+    double short_load(absl::Time now) const;
+    double long_use(absl::Time now) const;
+
+    double long_share_;
+    // Mean slots that short work asks for, at `load_time_`.
+    double short_load_ = 0.0;
+    absl::Time load_time_ = absl::InfinitePast();
+    // Mean share of the slots that long work had, at `use_time_`; since then it has `present_use_`.
+    double long_use_ = 0.0;
+    double present_use_ = 0.0;
+    absl::Time use_time_ = absl::InfinitePast();
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/serving/run_time_estimator.cpp
@@ -0,0 +1,107 @@
+#include "decision/serving/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticpass {
+namespace {
+
+constexpr absl::Duration least_run_time = absl::Milliseconds(1);
+constexpr absl::Duration default_run_time = absl::Milliseconds(200);
+// Weight of one observation in the ratio of measured to declared time, once enough are known.
+constexpr double least_ratio_step = 0.02;
+constexpr double largest_log_ratio = 5.0;
+// A quantile without few exceptions times a margin; a shorter threshold would probe servers that only run a
+// large job.
+constexpr double suspicion_quantile = 0.99;
+constexpr double suspicion_factor = 3.0;
+constexpr absl::Duration least_suspicion = absl::Seconds(1);
+
+}  // namespace
+
+run_time_estimator::run_time_estimator(estimator_options options) : options_(options) {}
+
+run_time_estimate run_time_estimator::estimate(const job_kind& kind,
+                                               std::optional<absl::Duration> declared) const {
+    const auto found = kinds_.find(kind);
+    if (found != kinds_.end() && found->second.distribution.weight() >= options_.needed_observations) {
+        return from(found->second.distribution);
+    }
+    if (declared.has_value()) {
+        const absl::Duration corrected = std::max(least_run_time, *declared * correction());
+        return {.expected = corrected,
+                .typical = corrected,
+                .high = corrected,
+                .size = corrected <= options_.short_limit ? size_class::short_work : size_class::long_work,
+                .measured = false};
+    }
+    run_time_estimate estimate{
+        .expected = default_run_time, .typical = default_run_time, .high = default_run_time};
+    if (all_kinds_.weight() >= options_.needed_observations) {
+        estimate = from(all_kinds_);
+    }
+    estimate.measured = false;
+    return estimate;
+}
+
+void run_time_estimator::observe(const job_kind& kind, std::optional<absl::Duration> declared,
+                                 absl::Duration measured) {
+    const absl::Duration run_time = std::max(measured, least_run_time);
+    distribution_of(kind).observe(run_time);
+    all_kinds_.observe(run_time);
+    if (!declared.has_value() || *declared <= absl::ZeroDuration()) {
+        return;
+    }
+    const double ratio =
+        std::clamp(std::log(absl::FDivDuration(run_time, *declared)), -largest_log_ratio, largest_log_ratio);
+    ratio_weight_ += 1.0;
+    log_ratio_ += (ratio - log_ratio_) * std::max(least_ratio_step, 1.0 / ratio_weight_);
+}
+
+void run_time_estimator::observe_at_least(const job_kind& kind, std::optional<absl::Duration> declared,
+                                          absl::Duration elapsed) {
+    if (elapsed > estimate(kind, declared).expected) {
+        distribution_of(kind).observe(elapsed);
+        all_kinds_.observe(elapsed);
+    }
+}
+
+absl::Duration run_time_estimator::suspicion_after(const job_kind& kind,
+                                                   std::optional<absl::Duration> declared) const {
+    const auto found = kinds_.find(kind);
+    const bool known =
+        found != kinds_.end() && found->second.distribution.weight() >= options_.needed_observations;
+    const absl::Duration high =
+        known ? found->second.distribution.quantile(suspicion_quantile) : estimate(kind, declared).high;
+    return std::max(least_suspicion, high * suspicion_factor);
+}
+
+run_time_distribution& run_time_estimator::distribution_of(const job_kind& kind) {
+    const auto found = kinds_.find(kind);
+    if (found != kinds_.end()) {
+        recency_.splice(recency_.begin(), recency_, found->second.recency);
+        return found->second.distribution;
+    }
+    if (kinds_.size() >= options_.largest_kinds) {
+        kinds_.erase(recency_.back());
+        recency_.pop_back();
+    }
+    recency_.push_front(kind);
+    return kinds_.emplace(kind, learned_kind{.distribution = {}, .recency = recency_.begin()})
+        .first->second.distribution;
+}
+
+run_time_estimate run_time_estimator::from(const run_time_distribution& distribution) const {
+    const absl::Duration high = distribution.quantile(options_.high_quantile);
+    return {.expected = distribution.mean(),
+            .typical = distribution.quantile(0.5),
+            .high = high,
+            .size = high <= options_.short_limit ? size_class::short_work : size_class::long_work,
+            .measured = true};
+}
+
+double run_time_estimator::correction() const {
+    return std::exp(log_ratio_);
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/serving/scheduler_types.h
@@ -0,0 +1,78 @@
+#ifndef MASTICPASS_DECISION_SERVING_SCHEDULER_TYPES_H
+#define MASTICPASS_DECISION_SERVING_SCHEDULER_TYPES_H
+
+#include <cstddef>
+#include <optional>
+
+#include <absl/time/time.h>
+
+#include "common/identifier.h"
+#include "common/verdict.h"
+#include "decision/serving/run_time_estimator.h"
+
+namespace masticpass {
+
+// A request as the scheduler sees it.
+struct request_description {
+    // Unique among the queued and running requests of the scheduler.
+    request_id id;
+    job_kind kind;
+    absl::Time deadline;
+    double worth = 1.0;
+    std::optional<absl::Duration> declared;
+    // Memory held by the request while it is queued.
+    std::size_t bytes = 0;
+    bool urgent = false;
+    // Whether the request may run more than once.
+    bool repeatable = false;
+};
+
+// An instance of the service as this entry VM may use it.
+struct instance_capacity {
+    vm_id instance;
+    // Slots that this entry VM may use now, those in use included.
+    int slots = 0;
+    // False if the instance is ejected, leaving or reserved.
+    bool accepts_work = true;
+};
+
+// A request that the caller has to run now on the instance. Ends with attempt_ended.
+struct dispatch {
+    request_id request;
+    vm_id instance;
+    // 1 for the first attempt.
+    int attempt = 1;
+    size_class size = size_class::short_work;
+    // Time without a response after which the connection is to be probed.
+    absl::Duration suspect_after;
+};
+
+// A queued request that ended without a further attempt.
+struct refused_request {
+    request_id request;
+    refusal reason;
+};
+
+enum class cancel_result {
+    // The request has left the queue; nothing further is reported about it.
+    removed,
+    // The request runs. It is not retried; attempt_ended reports its end.
+    running,
+    unknown,
+};
+
+enum class attempt_next { completed, queued_again };
+
+struct scheduler_options {
+    estimator_options estimator;
+    std::size_t largest_items = 2'000;
+    std::size_t largest_bytes = std::size_t{64} << 20U;
+    // Share of the slots that long work gets while short work waits.
+    double long_share = 0.1;
+    int retry_percent = 10;
+    int retry_burst = 10;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/serving/service_scheduler.cpp
@@ -0,0 +1,279 @@
+#include "decision/serving/service_scheduler.h"
+
+#include <algorithm>
+
+namespace masticpass {
+namespace {
+
+constexpr absl::Duration least_retry_after = absl::Milliseconds(100);
+constexpr absl::Duration largest_retry_after = absl::Seconds(30);
+
+}  // namespace
+
+service_scheduler::service_scheduler(scheduler_options options)
+    : options_(options),
+      estimator_(options.estimator),
+      retries_(options.retry_percent, options.retry_burst),
+      share_(options.long_share) {}
+
+tl::expected<void, refusal> service_scheduler::submit(const request_description& request, absl::Time now) {
+    if (queue_.find(request.id) != nullptr || running_.contains(request.id)) {
+        return tl::make_unexpected(
+            refuse(verdict::not_run, refusal_reason::identity_in_use, "the request id is in use"));
+    }
+    if (request.deadline <= now) {
+        return tl::make_unexpected(
+            refuse(verdict::not_run, refusal_reason::deadline_passed, "the deadline has passed"));
+    }
+    queued_request entry{.description = request,
+                         .estimate = estimator_.estimate(request.kind, request.declared),
+                         .sequence = next_sequence_++,
+                         .failed_on = std::nullopt};
+    if (entry.estimate.size == size_class::short_work) {
+        share_.short_arrived(entry.estimate.expected, now);
+    }
+    const int slots = instances_.usable_slots();
+    const absl::Duration wait =
+        slots > 0 ? queue_.work_before(request.urgent, entry.density()) / slots : absl::ZeroDuration();
+    if (entry.latest_start() < now + wait) {
+        return tl::make_unexpected(refuse(verdict::not_run, refusal_reason::deadline_unreachable,
+                                          "the deadline cannot be met at the present load"));
+    }
+    if (!make_room(entry)) {
+        const bool items = queue_.items() >= options_.largest_items;
+        return tl::make_unexpected(refuse(
+            verdict::not_run, items ? refusal_reason::queue_full_items : refusal_reason::queue_full_bytes,
+            "the queue is full"));
+    }
+    queue_.insert(std::move(entry));
+    return {};
+}
+
+cancel_result service_scheduler::cancel(const request_id& id, absl::Time /*now*/) {
+    if (queue_.find(id) != nullptr) {
+        queue_.take(id);
+        return cancel_result::removed;
+    }
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return cancel_result::unknown;
+    }
+    found->second.cancelled = true;
+    return cancel_result::running;
+}
+
+void service_scheduler::update_instances(absl::Span<const instance_capacity> instances, absl::Time now) {
+    instances_.update(instances);
+    share_.running_changed(long_running_, instances_.usable_slots(), now);
+}
+
+std::optional<dispatch> service_scheduler::next_dispatch(absl::Time now) {
+    if (queue_.items() == 0 || !instances_.has_free_slot()) {
+        return std::nullopt;
+    }
+    count_overlong_as_long(now);
+    const queued_request* const chosen = choose_request(now);
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    return start(chosen->description.id, *instances_.choose(chosen->failed_on), now);
+}
+
+tl::expected<attempt_next, refusal> service_scheduler::attempt_ended(const request_id& id,
+                                                                     const attempt_result& result,
+                                                                     absl::Time now) {
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return tl::make_unexpected(
+            refuse(verdict::may_have_run, refusal_reason::internal_error, "the request does not run"));
+    }
+    running_request ended = std::move(found->second);
+    running_.erase(found);
+    if (ended.counted_as == size_class::long_work) {
+        --long_running_;
+    } else {
+        running_short_.erase({ended.started, ended.request.sequence});
+    }
+    instances_.attempt_ended(ended.instance);
+    share_.running_changed(long_running_, instances_.usable_slots(), now);
+    learn(ended, result, now);
+    if (result.has_value()) {
+        return attempt_next::completed;
+    }
+    queued_request request = std::move(ended.request);
+    // A request that may have run once may have run, however its later attempts end.
+    if (result.error().outcome != verdict::not_run) {
+        request.outcome = verdict::may_have_run;
+    }
+    refusal failure = result.error();
+    failure.outcome = request.outcome;
+    if (ended.cancelled || !may_retry(result.error().outcome, request.description.repeatable) ||
+        request.latest_start() < now || !fits(1, request.description.bytes)) {
+        return tl::make_unexpected(std::move(failure));
+    }
+    if (!retries_.take_retry()) {
+        failure.retry_after = retry_after();
+        return tl::make_unexpected(std::move(failure));
+    }
+    request.failed_on = ended.instance;
+    queue_.insert(std::move(request));
+    return attempt_next::queued_again;
+}
+
+std::vector<refused_request> service_scheduler::expire(absl::Time now) {
+    for (const queued_request* first = queue_.first_to_expire();
+         first != nullptr && first->latest_start() < now; first = queue_.first_to_expire()) {
+        end_queued(first->description.id, refusal_reason::deadline_unreachable,
+                   "the deadline can no longer be met");
+    }
+    return std::exchange(ended_, {});
+}
+
+absl::Time service_scheduler::next_expiry() const {
+    if (!ended_.empty()) {
+        return absl::InfinitePast();
+    }
+    const queued_request* const first = queue_.first_to_expire();
+    return first == nullptr ? absl::InfiniteFuture() : first->latest_start();
+}
+
+std::vector<refused_request> service_scheduler::refuse_queued(refusal_reason reason,
+                                                              const std::string& message) {
+    while (const queued_request* const first = queue_.first_to_expire()) {
+        end_queued(first->description.id, reason, message);
+    }
+    return std::exchange(ended_, {});
+}
+
+refusal service_scheduler::refuse(verdict outcome, refusal_reason reason, std::string message) const {
+    return {
+        .outcome = outcome, .reason = reason, .message = std::move(message), .retry_after = retry_after()};
+}
+
+bool service_scheduler::make_room(const queued_request& incoming) {
+    const std::size_t bytes = incoming.description.bytes;
+    if (bytes > options_.largest_bytes) {
+        return false;
+    }
+    while (!fits(1, bytes)) {
+        const queued_request* const least = queue_.last();
+        const bool worth_more =
+            least != nullptr && (incoming.description.urgent || least->density() < incoming.density());
+        if (!worth_more) {
+            return false;
+        }
+        end_queued(least->description.id, refusal_reason::queue_full_items,
+                   "displaced by work of more worth");
+    }
+    return true;
+}
+
+bool service_scheduler::fits(std::size_t items, std::size_t bytes) const {
+    return queue_.items() + items <= options_.largest_items &&
+           queue_.bytes() + bytes <= options_.largest_bytes;
+}
+
+void service_scheduler::end_queued(const request_id& id, refusal_reason reason, std::string message) {
+    const queued_request taken = queue_.take(id);
+    ended_.push_back(
+        {.request = taken.description.id, .reason = refuse(taken.outcome, reason, std::move(message))});
+}
+
+void service_scheduler::count_overlong_as_long(absl::Time now) {
+    bool changed = false;
+    while (!running_short_.empty() &&
+           running_short_.begin()->first.first + estimator_.options().short_limit < now) {
+        running_.at(running_short_.begin()->second).counted_as = size_class::long_work;
+        running_short_.erase(running_short_.begin());
+        ++long_running_;
+        changed = true;
+    }
+    if (changed) {
+        share_.running_changed(long_running_, instances_.usable_slots(), now);
+    }
+}
+
+const queued_request* service_scheduler::first_viable(size_class size, absl::Time now) {
+    while (const queued_request* const first = queue_.first(size)) {
+        const run_time_estimate present =
+            estimator_.estimate(first->description.kind, first->description.declared);
+        // The estimate may have been made before the kind was measured.
+        if (present.measured && !first->estimate.measured) {
+            queued_request renewed = queue_.take(first->description.id);
+            renewed.estimate = present;
+            queue_.insert(std::move(renewed));
+            continue;
+        }
+        if (now <= first->latest_start()) {
+            return first;
+        }
+        end_queued(first->description.id, refusal_reason::deadline_unreachable,
+                   "the deadline can no longer be met");
+    }
+    return nullptr;
+}
+
+const queued_request* service_scheduler::choose_request(absl::Time now) {
+    // A renewed estimate may move a request to the other class, so the short class is looked at again last.
+    first_viable(size_class::short_work, now);
+    const queued_request* const long_first = first_viable(size_class::long_work, now);
+    const queued_request* const short_first = first_viable(size_class::short_work, now);
+    const int slots = instances_.usable_slots();
+    if (long_first == nullptr) {
+        return short_first;
+    }
+    if (short_first != nullptr && short_first->description.urgent) {
+        return short_first;
+    }
+    if (long_first->description.urgent || share_.long_is_owed(long_running_, slots, now)) {
+        return long_first;
+    }
+    if (short_first != nullptr) {
+        return short_first;
+    }
+    return share_.long_may_start(long_running_, slots, now) ? long_first : nullptr;
+}
+
+dispatch service_scheduler::start(const request_id& id, const vm_id& instance, absl::Time now) {
+    running_request started{.request = queue_.take(id),
+                            .instance = instance,
+                            .started = now,
+                            .counted_as = {},
+                            .cancelled = false};
+    started.counted_as = started.request.estimate.size;
+    if (++started.request.attempts == 1) {
+        retries_.first_attempt();
+    }
+    if (started.counted_as == size_class::long_work) {
+        ++long_running_;
+    } else {
+        running_short_.emplace(std::pair(now, started.request.sequence), id);
+    }
+    instances_.attempt_started(instance);
+    share_.running_changed(long_running_, instances_.usable_slots(), now);
+    const request_description& description = started.request.description;
+    dispatch result{.request = id,
+                    .instance = instance,
+                    .attempt = started.request.attempts,
+                    .size = started.counted_as,
+                    .suspect_after = estimator_.suspicion_after(description.kind, description.declared)};
+    running_.emplace(id, std::move(started));
+    return result;
+}
+
+void service_scheduler::learn(const running_request& ended, const attempt_result& result, absl::Time now) {
+    const request_description& description = ended.request.description;
+    const absl::Duration elapsed = now - ended.started;
+    if (result.has_value()) {
+        estimator_.observe(description.kind, description.declared, elapsed);
+    } else if (result.error().outcome == verdict::may_have_run) {
+        estimator_.observe_at_least(description.kind, description.declared, elapsed);
+    }
+}
+
+absl::Duration service_scheduler::retry_after() const {
+    const int slots = std::max(1, instances_.usable_slots());
+    return std::clamp(queue_.work_before(false, 0.0) / slots, least_retry_after, largest_retry_after);
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/serving/service_scheduler.h
@@ -0,0 +1,113 @@
+#ifndef MASTICPASS_DECISION_SERVING_SERVICE_SCHEDULER_H
+#define MASTICPASS_DECISION_SERVING_SERVICE_SCHEDULER_H
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <absl/types/span.h>
+#include <tl/expected.hpp>
+
+#include "decision/serving/attempt_outcome.h"
+#include "decision/serving/class_share.h"
+#include "decision/serving/instance_table.h"
+#include "decision/serving/request_queue.h"
+#include "decision/serving/retry_budget.h"
+#include "decision/serving/run_time_estimator.h"
+#include "decision/serving/scheduler_types.h"
+
+namespace masticpass {
+
+// Queue and slot choice of one service in one entry VM. Each submitted request ends exactly once: refused by
+// submit, removed by cancel, refused by expire or refuse_queued, or ended by attempt_ended.
+// Thread safety: none; the caller holds a lock. `now` must not go back.
+class service_scheduler {
+public:
+    explicit service_scheduler(scheduler_options options = {});
+
+    // Queues the request. Errors, always as not run: identity_in_use if the id is queued or running;
+    // deadline_passed; deadline_unreachable if the work before it leaves no time; queue_full_items and
+    // queue_full_bytes if the queue holds nothing of less value. A request may displace one of less value,
+    // which expire then reports.
+    [[nodiscard]] tl::expected<void, refusal> submit(const request_description& request, absl::Time now);
+
+    // Takes the request out of the queue at once, or keeps a running request from being retried.
+    cancel_result cancel(const request_id& id, absl::Time now);
+
+    // Replaces the set of instances. Running attempts are not affected.
+    void update_instances(absl::Span<const instance_capacity> instances, absl::Time now);
+
+    // The next request to run and its instance; nullopt if there is none. To be called until it returns
+    // nullopt after each other operation and when next_expiry has passed.
+    [[nodiscard]] std::optional<dispatch> next_dispatch(absl::Time now);
+
+    // Reports the end of a dispatched attempt. Error: the refusal for the caller of a request that is not
+    // tried again, or internal_error if the request does not run.
+    [[nodiscard]] tl::expected<attempt_next, refusal> attempt_ended(const request_id& id,
+                                                                    const attempt_result& result,
+                                                                    absl::Time now);
+
+    // Ends queued requests that can no longer meet their deadline and reports all that ended since the last
+    // call, displaced ones included. To be called after each submit and when next_expiry has passed.
+    [[nodiscard]] std::vector<refused_request> expire(absl::Time now);
+
+    // When expire has something to do; InfiniteFuture if the queue is empty.
+    absl::Time next_expiry() const;
+
+    // Ends all queued requests, for a planned stop.
+    [[nodiscard]] std::vector<refused_request> refuse_queued(refusal_reason reason,
+                                                             const std::string& message);
+
+    std::size_t queued_items() const { return queue_.items(); }
+    std::size_t queued_bytes() const { return queue_.bytes(); }
+    std::size_t running() const { return running_.size(); }
+    int long_running() const { return long_running_; }
+    int free_slots() const { return instances_.free_slots(); }
+    int usable_slots() const { return instances_.usable_slots(); }
+    const run_time_estimator& estimator() const { return estimator_; }
+
+private:
+    struct running_request {
+        queued_request request;
+        vm_id instance;
+        absl::Time started;
+        size_class counted_as = size_class::short_work;
+        bool cancelled = false;
+    };
+
+    refusal refuse(verdict outcome, refusal_reason reason, std::string message) const;
+    // Makes room by displacing requests of less value; false if there are too few of them.
+    bool make_room(const queued_request& incoming);
+    bool fits(std::size_t items, std::size_t bytes) const;
+    void end_queued(const request_id& id, refusal_reason reason, std::string message);
+    void count_overlong_as_long(absl::Time now);
+    // The first request of the class that can still meet its deadline.
+    const queued_request* first_viable(size_class size, absl::Time now);
+    const queued_request* choose_request(absl::Time now);
+    dispatch start(const request_id& id, const vm_id& instance, absl::Time now);
+    void learn(const running_request& ended, const attempt_result& result, absl::Time now);
+    absl::Duration retry_after() const;
+
+    scheduler_options options_;
+    run_time_estimator estimator_;
+    retry_budget retries_;
+    class_share share_;
+    instance_table instances_;
+    request_queue queue_;
+    absl::flat_hash_map<request_id, running_request> running_;
+    // Running requests that count as short, by start and order of submission.
+    absl::btree_map<std::pair<absl::Time, std::uint64_t>, request_id> running_short_;
+    int long_running_ = 0;
+    std::uint64_t next_sequence_ = 0;
+    std::vector<refused_request> ended_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/serving/slot_allotment.h
@@ -0,0 +1,80 @@
+#ifndef MASTICPASS_DECISION_SERVING_SLOT_ALLOTMENT_H
+#define MASTICPASS_DECISION_SERVING_SLOT_ALLOTMENT_H
+
+#include <cstdint>
+#include <deque>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include "common/identifier.h"
+#include "decision/serving/allotment_record.h"
+#include "decision/serving/settlement_view.h"
+
+namespace masticpass {
+
+// The slots and connections of the zone's instances that this entry VM may use. A slot gained at an epoch is
+// used only after each entry VM that may still use it has announced a later settlement or is proved gone, so
+// the requests of all entry VMs on an instance never exceed its slots, whichever records each of them has
+// seen. No timer is involved. Thread safety: none; the caller holds a lock.
+class slot_allotment {
+public:
+    explicit slot_allotment(incarnation_id self);
+
+    // Takes a record read from the store. Records of lower or equal epoch are ignored.
+    void apply(const allotment_record& record);
+
+    void announced(const incarnation_id& sender, const settlement& announcement);
+
+    // Only with proof: terminated in the VM list, its address refuses connections, or its address answers
+    // with a newer incarnation. Silence is no proof.
+    void proved_gone(const incarnation_id& incarnation);
+
+    // Slots that may be used now, those in use included. 0 for an instance of which nothing is owned.
+    int usable_slots(const vm_id& instance);
+    int connection_limit(const vm_id& instance) { return usable_slots(instance) * connections_per_slot; }
+
+    // Takes a slot for one request; false if none is free.
+    [[nodiscard]] bool acquire_slot(const vm_id& instance);
+    void release_slot(const vm_id& instance);
+
+    // Counts a connection that is about to be opened; false if the limit is reached.
+    [[nodiscard]] bool acquire_connection(const vm_id& instance);
+    void release_connection(const vm_id& instance);
+    // Idle connections that have to be closed so that the instance can settle.
+    int surplus_connections(const vm_id& instance);
+
+    // What the next heartbeat announces.
+    settlement announcement();
+
+    std::uint64_t epoch() const { return history_.empty() ? 0 : history_.back().epoch; }
+
+    // Forgets an instance that left the zone; ignored while requests or connections are counted on it.
+    void forget(const vm_id& instance);
+
+private:
+    struct instance_use {
+        std::uint32_t owned = 0;
+        // The part of `owned` that may be used.
+        std::uint32_t usable = 0;
+        int in_flight = 0;
+        int connections = 0;
+
+        bool settled() const;
+    };
+
+    instance_use& use_of(const vm_id& instance);
+    void grant(const vm_id& instance, instance_use& use) const;
+    bool may_still_use(const allotment_member& member, const vm_id& instance, int slot) const;
+
+    incarnation_id self_;
+    // Ascending epochs; the last record is in force.
+    std::deque<allotment_record> history_;
+    settlement_view settlements_;
+    absl::flat_hash_set<incarnation_id> gone_;
+    absl::flat_hash_map<vm_id, instance_use> uses_;
+};
+
+}  // namespace masticpass
+
+#endif
