Add the maintenance decisions

A completed move leaves a departure in the source's record until the target has taken the VM on: that the source no longer lists the VM does not suffice, because a note of a cancelled move could claim a VM that was later given to a third pool. A sighting counts as a newer boot only if it comes from a newer VM list, because a lagging list may show an even older boot identity.

--- /dev/null
+++ b/source/decision/maintenance/budget_check.cpp
@@ -0,0 +1,112 @@
+#include "decision/maintenance/budget_check.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace masticpass {
+
+namespace {
+
+template <typename Map>
+int count_in(const Map& counts, const typename Map::key_type& key) {
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+bool is_over(int count, const std::optional<int>& limit) {
+    return limit.has_value() && count > *limit;
+}
+
+}  // namespace
+
+bool is_unavailable_by_phase(const pool_vm& vm) {
+    return counts_in_size(vm) && vm.phase != vm_phase::serving;
+}
+
+unavailability::unavailability(const pool_record& record, const unavailable_vms& observed, int minimum_vms) {
+    int size = 0;
+    for (const auto& [id, vm] : record.vms) {
+        if (!counts_in_size(vm)) {
+            continue;
+        }
+        ++size;
+        if (is_unavailable_by_phase(vm) || observed.contains(id)) {
+            add(vm);
+        }
+    }
+    total_ += std::max(0, minimum_vms - size);
+}
+
+void unavailability::add(const pool_vm& vm) {
+    ++total_;
+    highest_in_zone_ = std::max(highest_in_zone_, ++zones_[vm.zone]);
+    highest_in_rack_ = std::max(highest_in_rack_, ++racks_[vm.rack]);
+}
+
+int unavailability::in_zone(const zone_name& zone) const {
+    return count_in(zones_, zone);
+}
+
+int unavailability::in_rack(const rack_name& rack) const {
+    return count_in(racks_, rack);
+}
+
+std::optional<std::string> unavailability::exceeded(const pool_budget& budget) const {
+    if (total_ > budget.max_unavailable) {
+        return absl::StrCat("max_unavailable ", budget.max_unavailable, " exceeded by ", total_);
+    }
+    if (is_over(highest_in_zone_, budget.max_unavailable_per_zone)) {
+        return absl::StrCat("max_unavailable_per_zone exceeded by ", highest_in_zone_);
+    }
+    if (is_over(highest_in_rack_, budget.max_unavailable_per_rack)) {
+        return absl::StrCat("max_unavailable_per_rack exceeded by ", highest_in_rack_);
+    }
+    if (is_over(static_cast<int>(zones_.size()), budget.max_zones_unavailable)) {
+        return absl::StrCat("max_zones_unavailable exceeded by ", zones_.size());
+    }
+    if (is_over(static_cast<int>(racks_.size()), budget.max_racks_unavailable)) {
+        return absl::StrCat("max_racks_unavailable exceeded by ", racks_.size());
+    }
+    return std::nullopt;
+}
+
+bool unavailability::has_room_for(const pool_vm& vm, const pool_budget& budget) const {
+    const int zone_count = in_zone(vm.zone);
+    const int rack_count = in_rack(vm.rack);
+    const int open_zones = static_cast<int>(zones_.size()) + (zone_count == 0 ? 1 : 0);
+    const int open_racks = static_cast<int>(racks_.size()) + (rack_count == 0 ? 1 : 0);
+    return total_ + 1 <= budget.max_unavailable &&
+           !is_over(std::max(highest_in_zone_, zone_count + 1), budget.max_unavailable_per_zone) &&
+           !is_over(std::max(highest_in_rack_, rack_count + 1), budget.max_unavailable_per_rack) &&
+           !is_over(open_zones, budget.max_zones_unavailable) &&
+           !is_over(open_racks, budget.max_racks_unavailable);
+}
+
+tl::expected<void, std::string> check_satisfiable(const pool_limits& limits, std::optional<int> vm_count) {
+    const pool_budget& budget = limits.budget;
+    const auto below_one = [](const char* name, std::optional<int> limit) -> std::optional<std::string> {
+        if (limit.has_value() && *limit < 1) {
+            return absl::StrCat(name, " ", *limit, " lets no VM be maintained");
+        }
+        return std::nullopt;
+    };
+    for (const auto& problem : {below_one("max_unavailable", budget.max_unavailable),
+                                below_one("max_unavailable_per_zone", budget.max_unavailable_per_zone),
+                                below_one("max_unavailable_per_rack", budget.max_unavailable_per_rack),
+                                below_one("max_zones_unavailable", budget.max_zones_unavailable),
+                                below_one("max_racks_unavailable", budget.max_racks_unavailable)}) {
+        if (problem) {
+            return tl::unexpected(*problem);
+        }
+    }
+    const int missing = vm_count ? std::max(0, limits.minimum_vms - *vm_count) : 0;
+    if (missing >= budget.max_unavailable) {
+        return tl::unexpected(absl::StrCat("the pool has ", *vm_count, " VMs of minimum_vms ",
+                                           limits.minimum_vms, "; the missing ones use up max_unavailable ",
+                                           budget.max_unavailable));
+    }
+    return {};
+}
+
+}  // namespace masticpass
--- a/source/decision/maintenance/budget_check.h
+++ b/source/decision/maintenance/budget_check.h
@@ -53,6 +53,8 @@
 
 private:
     int total_ = 0;
+    int highest_in_zone_ = 0;
+    int highest_in_rack_ = 0;
     std::map<zone_name, int> zones_;
     std::map<rack_name, int> racks_;
 };
--- /dev/null
+++ b/source/decision/maintenance/move_step.cpp
@@ -0,0 +1,233 @@
+#include "decision/maintenance/move_step.h"
+
+#include <utility>
+
+#include "decision/maintenance/transition_support.h"
+
+namespace masticpass {
+
+namespace {
+
+// The VM's entry if it is in the given phase with the given operation.
+const pool_vm* find_operation(const pool_record& record, const vm_id& vm, vm_phase phase,
+                              const operation_id& operation) {
+    const auto found = record.vms.find(vm);
+    if (found == record.vms.end() || found->second.phase != phase || found->second.operation != operation) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+bool has_departed(const pool_record& source, const vm_id& vm, const pool_name& target,
+                  const operation_id& operation) {
+    const auto found = source.departures.find(vm);
+    return found != source.departures.end() && found->second.target == target &&
+           found->second.operation == operation;
+}
+
+}  // namespace
+
+transition_result start_move(const pool_record& source, const vm_id& vm, const pool_name& target,
+                             const operation_context& context, const pool_limits& limits,
+                             const unavailable_vms& observed) {
+    if (auto error = check_phase(source, vm, {vm_phase::serving})) {
+        return tl::unexpected(*std::move(error));
+    }
+    if (target == source.pool) {
+        return refuse(transition_error_kind::already_listed, vm, "is in the target pool");
+    }
+    pool_record changed = source;
+    pool_vm& entry = changed.vms.at(vm);
+    entry.phase = vm_phase::moving_out;
+    entry.since = context.now;
+    entry.operation = context.operation;
+    entry.actor = context.actor;
+    entry.other_pool = target;
+    int staying = 0;
+    for (const auto& [id, other] : changed.vms) {
+        staying += counts_in_size(other) && other.phase != vm_phase::moving_out ? 1 : 0;
+    }
+    if (staying < limits.minimum_vms) {
+        return refuse(transition_error_kind::below_minimum, vm, "the pool would fall below minimum_vms");
+    }
+    if (auto error = check_budget(changed, vm, limits, observed)) {
+        return tl::unexpected(*std::move(error));
+    }
+    return changed;
+}
+
+transition_result cancel_move(const pool_record& source, const vm_id& vm, const operation_id& operation,
+                              absl::Time now) {
+    if (auto error = check_phase(source, vm, {vm_phase::moving_out})) {
+        return tl::unexpected(*std::move(error));
+    }
+    pool_record changed = source;
+    pool_vm& entry = changed.vms.at(vm);
+    if (entry.operation != operation) {
+        return refuse(transition_error_kind::wrong_operation, vm, "moved by another operation");
+    }
+    set_serving(entry, now);
+    return changed;
+}
+
+transition_result note_incoming(const pool_record& target, const vm_id& vm, const stored_pool_record& source,
+                                const incarnation_id& actor, absl::Time now) {
+    if (auto error = check_phase(source.record, vm, {vm_phase::moving_out})) {
+        return tl::unexpected(*std::move(error));
+    }
+    const pool_vm& moving = source.record.vms.at(vm);
+    if (moving.other_pool != target.pool) {
+        return refuse(transition_error_kind::wrong_operation, vm, "moves to another pool");
+    }
+    if (target.vms.contains(vm)) {
+        return refuse(transition_error_kind::already_listed, vm, "is listed by the target pool");
+    }
+    pool_record changed = target;
+    pool_vm& entry = changed.vms[vm];
+    entry.zone = moving.zone;
+    entry.rack = moving.rack;
+    entry.phase = vm_phase::incoming;
+    entry.since = now;
+    entry.maintained_at = moving.maintained_at;
+    entry.operation = moving.operation;
+    entry.actor = actor;
+    entry.other_pool = source.record.pool;
+    entry.source_revision = source.revision;
+    return changed;
+}
+
+transition_result hand_over(const pool_record& source, const vm_id& vm, const stored_pool_record& target) {
+    if (auto error = check_phase(source, vm, {vm_phase::moving_out})) {
+        return tl::unexpected(*std::move(error));
+    }
+    const pool_vm& moving = source.vms.at(vm);
+    const pool_vm* note = find_operation(target.record, vm, vm_phase::incoming, moving.operation);
+    // A note of an earlier, cancelled move may be dropped at any time, and the VM would be left without an
+    // owner.
+    if (note == nullptr || target.record.pool != moving.other_pool) {
+        return refuse(transition_error_kind::wrong_operation, vm, "the target does not note this move");
+    }
+    pool_record changed = source;
+    changed.departures[vm] = departure{moving.other_pool, moving.operation, target.revision};
+    changed.vms.erase(vm);
+    return changed;
+}
+
+transition_result begin_incoming(const pool_record& target, const vm_id& vm, const pool_record& source,
+                                 const boot_evidence& present, const incarnation_id& actor, absl::Time now) {
+    if (auto error = check_phase(target, vm, {vm_phase::incoming})) {
+        return tl::unexpected(*std::move(error));
+    }
+    const pool_vm& note = target.vms.at(vm);
+    // That the source no longer lists the VM does not suffice: it may have given it to a third pool later.
+    if (source.pool != note.other_pool || !has_departed(source, vm, target.pool, note.operation)) {
+        return refuse(transition_error_kind::not_owner, vm, "the source has not handed it over in this move");
+    }
+    if (present.boot.empty()) {
+        return refuse(transition_error_kind::stale_evidence, vm, "boot identity unknown");
+    }
+    pool_record changed = target;
+    pool_vm& entry = changed.vms.at(vm);
+    entry.phase = vm_phase::acting;
+    entry.joining = true;
+    entry.since = now;
+    entry.actor = actor;
+    entry.old_boot = present.boot;
+    entry.old_boot_index = present.list_index;
+    return changed;
+}
+
+transition_result drop_incoming(const pool_record& target, const vm_id& vm,
+                                const stored_pool_record& source) {
+    if (auto error = check_phase(target, vm, {vm_phase::incoming})) {
+        return tl::unexpected(*std::move(error));
+    }
+    const pool_vm& note = target.vms.at(vm);
+    if (source.record.pool != note.other_pool) {
+        return refuse(transition_error_kind::wrong_operation, vm, "comes from another pool");
+    }
+    if (source.revision < note.source_revision) {
+        return refuse(transition_error_kind::stale_evidence, vm, "the source is older than the note");
+    }
+    if (find_operation(source.record, vm, vm_phase::moving_out, note.operation) != nullptr ||
+        has_departed(source.record, vm, target.pool, note.operation)) {
+        return refuse(transition_error_kind::wrong_phase, vm, "the move goes on");
+    }
+    pool_record changed = target;
+    changed.vms.erase(vm);
+    return changed;
+}
+
+transition_result clear_departure(const pool_record& source, const vm_id& vm,
+                                  const stored_pool_record& target) {
+    const auto found = source.departures.find(vm);
+    if (found == source.departures.end()) {
+        return refuse(transition_error_kind::unknown_vm, vm, "has not departed");
+    }
+    const departure& gone = found->second;
+    if (target.record.pool != gone.target || target.revision < gone.target_revision) {
+        return refuse(transition_error_kind::stale_evidence, vm, "the target is older than the departure");
+    }
+    if (find_operation(target.record, vm, vm_phase::incoming, gone.operation) != nullptr) {
+        return refuse(transition_error_kind::wrong_phase, vm, "the target has not taken the VM on");
+    }
+    pool_record changed = source;
+    changed.departures.erase(vm);
+    return changed;
+}
+
+transition_result admit_vm(const pool_record& record, const vm_id& vm, const zone_name& zone,
+                           const rack_name& rack, const operation_context& context,
+                           const std::map<pool_name, stored_pool_record>& all) {
+    for (const auto& [name, other] : all) {
+        if (other.record.vms.contains(vm) || other.record.departures.contains(vm)) {
+            return refuse(transition_error_kind::already_listed, vm, "is listed by pool " + name.value());
+        }
+    }
+    pool_record changed = record;
+    pool_vm& entry = changed.vms[vm];
+    entry.zone = zone;
+    entry.rack = rack;
+    entry.phase = vm_phase::incoming;
+    entry.since = context.now;
+    entry.maintained_at = maintenance_time(record, context.now);
+    entry.operation = context.operation;
+    entry.actor = context.actor;
+    return changed;
+}
+
+transition_result complete_admission(const pool_record& record, const vm_id& vm, const boot_evidence& seen,
+                                     absl::Time now) {
+    if (auto error = check_phase(record, vm, {vm_phase::incoming})) {
+        return tl::unexpected(*std::move(error));
+    }
+    if (!record.vms.at(vm).other_pool.empty()) {
+        return refuse(transition_error_kind::wrong_phase, vm, "comes from another pool");
+    }
+    if (seen.boot.empty() || seen.role != record.pool) {
+        return refuse(transition_error_kind::stale_evidence, vm, "does not serve in this role");
+    }
+    pool_record changed = record;
+    set_serving(changed.vms.at(vm), now);
+    return changed;
+}
+
+std::optional<pool_name> owner_of(const vm_id& vm, const std::map<pool_name, stored_pool_record>& all) {
+    for (const auto& [name, stored] : all) {
+        const auto found = stored.record.vms.find(vm);
+        if (found == stored.record.vms.end()) {
+            continue;
+        }
+        const pool_vm& entry = found->second;
+        if (entry.phase != vm_phase::incoming || entry.other_pool.empty()) {
+            return name;
+        }
+        const auto source = all.find(entry.other_pool);
+        if (source != all.end() && has_departed(source->second.record, vm, name, entry.operation)) {
+            return name;
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/maintenance/pool_step.cpp
@@ -0,0 +1,288 @@
+#include "decision/maintenance/pool_step.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+namespace masticpass {
+
+namespace {
+
+boot_evidence evidence(const vm_observation& seen) {
+    return {seen.boot, seen.role, seen.list_index};
+}
+
+bool serves(const vm_observation& seen) {
+    return seen.state == vm_list_state::live && seen.answers && !seen.probes_failed;
+}
+
+}  // namespace
+
+fleet_index::fleet_index(const maintenance_view& view) {
+    std::set<vm_id> listed;
+    for (const auto& [name, stored] : view.pools) {
+        for (const auto& [id, vm] : stored.record.vms) {
+            listed.insert(id);
+            if (vm.phase == vm_phase::moving_out) {
+                arriving[vm.other_pool].emplace_back(id, &stored);
+            }
+        }
+        for (const auto& [id, gone] : stored.record.departures) {
+            listed.insert(id);
+        }
+    }
+    for (const auto& [id, seen] : view.vms) {
+        if (serves(seen) && !listed.contains(id)) {
+            unlisted[seen.role].push_back(id);
+        }
+    }
+}
+
+pool_step::pool_step(const maintenance_view& view, const fleet_index& index, const pool_name& pool,
+                     std::int64_t sequence)
+    : view_(view),
+      index_(index),
+      pool_(pool),
+      change_(absl::StrCat(view.self.value(), ".", sequence)),
+      base_(stored(pool)) {
+    const auto limits = view.limits.find(pool);
+    limits_ = limits == view.limits.end() ? nullptr : &limits->second;
+}
+
+std::vector<maintenance_action> pool_step::run() {
+    if (base_ == nullptr) {
+        return {};
+    }
+    record_ = base_->record;
+    observed_ = observed_unavailable(record_, view_.vms);
+    for (const auto& [id, vm] : base_->record.vms) {
+        step_vm(id, vm);
+    }
+    update_waves();
+    update_moves();
+    plan();
+    if (record_ != base_->record) {
+        record_.last_change = change_;
+        record_.last_writer = view_.self;
+        actions_.insert(actions_.begin(), write_record{pool_, base_->revision, record_});
+    }
+    return std::move(actions_);
+}
+
+void pool_step::step_vm(const vm_id& id, const pool_vm& vm) {
+    const vm_observation* seen = observation(id);
+    if (seen != nullptr && seen->state == vm_list_state::terminated) {
+        apply(remove_terminated(record_, id));
+        return;
+    }
+    switch (vm.phase) {
+        case vm_phase::acting:
+            step_acting(id, vm, seen);
+            return;
+        case vm_phase::moving_out:
+            step_moving_out(id, vm);
+            return;
+        case vm_phase::incoming:
+            step_incoming(id, vm, seen);
+            return;
+        case vm_phase::serving:
+        case vm_phase::failed:
+        case vm_phase::reserved:
+            break;
+    }
+    if (seen == nullptr) {
+        if (vm.phase == vm_phase::reserved && (is_over_budget() || !is_wanted(vm))) {
+            apply(withdraw(record_, id, vm.operation, view_.now));
+        }
+        return;
+    }
+    if (vm.phase == vm_phase::serving) {
+        step_serving(id, *seen);
+    } else if (vm.phase == vm_phase::failed) {
+        step_failed(id, vm, *seen);
+    } else {
+        step_reserved(id, vm, *seen);
+    }
+}
+
+void pool_step::step_serving(const vm_id& id, const vm_observation& seen) {
+    if (seen.probes_failed) {
+        apply(mark_failed(record_, id, evidence(seen), view_.now));
+    }
+}
+
+void pool_step::step_failed(const vm_id& id, const pool_vm& vm, const vm_observation& seen) {
+    if (!serves(seen) || apply(recover(record_, id, evidence(seen), view_.now))) {
+        return;
+    }
+    if (seen.boot == vm.old_boot && seen.list_index >= vm.old_boot_index) {
+        apply(restart_failed(record_, id, context(id)));
+    }
+}
+
+void pool_step::step_reserved(const vm_id& id, const pool_vm& vm, const vm_observation& seen) {
+    if (seen.probes_failed) {
+        apply(mark_failed(record_, id, evidence(seen), view_.now));
+        return;
+    }
+    const bool restarts_failed = !vm.old_boot.empty();
+    if (!restarts_failed && (!is_wanted(vm) || is_over_budget())) {
+        apply(withdraw(record_, id, vm.operation, view_.now));
+        return;
+    }
+    if (limits_ != nullptr && seen.state == vm_list_state::live &&
+        is_drained(view_.drain, vm.zone, id, vm.operation)) {
+        const operation_context action{vm.operation, view_.self, view_.now};
+        apply(begin_action(record_, id, action, evidence(seen), *limits_, observed_));
+    }
+}
+
+void pool_step::step_acting(const vm_id& id, const pool_vm& vm, const vm_observation* seen) {
+    if (seen != nullptr && serves(*seen)) {
+        if (apply(release(record_, id, evidence(*seen), view_.now)) ||
+            apply(renew_action(record_, id, evidence(*seen)))) {
+            return;
+        }
+    }
+    // Until a newer boot identity is seen, the call is repeated: an earlier one may have been lost, and the
+    // platform refuses it if the VM has restarted meanwhile.
+    actions_.emplace_back(reboot_vm{id, vm.operation, vm.old_boot, pool_});
+}
+
+void pool_step::step_moving_out(const vm_id& id, const pool_vm& vm) {
+    if (is_over_budget() || !view_.limits.contains(vm.other_pool)) {
+        apply(cancel_move(record_, id, vm.operation, view_.now));
+        return;
+    }
+    const stored_pool_record* target = stored(vm.other_pool);
+    if (target != nullptr && is_drained(view_.drain, vm.zone, id, vm.operation)) {
+        apply(hand_over(record_, id, *target));
+    }
+}
+
+void pool_step::step_incoming(const vm_id& id, const pool_vm& vm, const vm_observation* seen) {
+    if (vm.other_pool.empty()) {
+        if (seen != nullptr && serves(*seen)) {
+            apply(complete_admission(record_, id, evidence(*seen), view_.now));
+        }
+        return;
+    }
+    const stored_pool_record* source = stored(vm.other_pool);
+    if (source == nullptr) {
+        return;
+    }
+    if (seen != nullptr && seen->state == vm_list_state::live &&
+        apply(begin_incoming(record_, id, source->record, evidence(*seen), view_.self, view_.now))) {
+        return;
+    }
+    apply(drop_incoming(record_, id, *source));
+}
+
+void pool_step::update_waves() {
+    std::set<wave_name> declared;
+    for (const declared_wave& wave : view_.waves) {
+        declared.insert(wave.name);
+        if (std::find(wave.pools.begin(), wave.pools.end(), pool_) == wave.pools.end()) {
+            continue;
+        }
+        if (wave.state == wave_state::running) {
+            record_ = start_wave(record_, wave.name, view_.now);
+        }
+        if (can_end_wave(record_, wave, view_.now)) {
+            record_ = end_wave(record_, wave.name, view_.now);
+        }
+    }
+    std::erase_if(record_.waves, [&](const auto& item) { return !declared.contains(item.first); });
+}
+
+void pool_step::update_moves() {
+    const auto departures = record_.departures;
+    for (const auto& [id, gone] : departures) {
+        if (const stored_pool_record* target = stored(gone.target)) {
+            apply(clear_departure(record_, id, *target));
+        }
+    }
+    if (const auto found = index_.arriving.find(pool_);
+        found != index_.arriving.end() && limits_ != nullptr) {
+        for (const auto& [id, source] : found->second) {
+            apply(note_incoming(record_, id, *source, view_.self, view_.now));
+        }
+    }
+    if (const auto found = index_.unlisted.find(pool_);
+        found != index_.unlisted.end() && limits_ != nullptr) {
+        for (const vm_id& id : found->second) {
+            const vm_observation& seen = view_.vms.at(id);
+            apply(admit_vm(record_, id, seen.zone, seen.rack, context(id), view_.pools));
+        }
+    }
+    for (const move_request& move : view_.moves) {
+        if (move.source == pool_ && limits_ != nullptr && view_.limits.contains(move.target)) {
+            apply(start_move(record_, move.vm, move.target, context(move.vm), *limits_, observed_));
+        }
+    }
+}
+
+void pool_step::plan() {
+    if (limits_ == nullptr) {
+        return;
+    }
+    unavailable_vms restartable;
+    for (const vm_id& id : observed_) {
+        const vm_observation* seen = observation(id);
+        if (seen != nullptr && serves(*seen)) {
+            restartable.insert(id);
+        }
+    }
+    for (const planned_vm& planned :
+         plan_wave(record_, *limits_, observed_, restartable, view_.waves, view_.now)) {
+        apply(reserve(record_, planned.vm, planned.wave, context(planned.vm), *limits_, observed_));
+    }
+}
+
+const vm_observation* pool_step::observation(const vm_id& id) const {
+    const auto found = view_.vms.find(id);
+    return found == view_.vms.end() ? nullptr : &found->second;
+}
+
+const stored_pool_record* pool_step::stored(const pool_name& pool) const {
+    const auto found = view_.pools.find(pool);
+    return found == view_.pools.end() ? nullptr : &found->second;
+}
+
+bool pool_step::is_wanted(const pool_vm& vm) const {
+    if (!vm.old_boot.empty()) {
+        return true;
+    }
+    if (limits_ == nullptr) {
+        return false;
+    }
+    bool paused = false;
+    for (const declared_wave& wave : view_.waves) {
+        if (wave.name == vm.wave) {
+            return wave.state == wave_state::running;
+        }
+        const bool names_pool = std::find(wave.pools.begin(), wave.pools.end(), pool_) != wave.pools.end();
+        paused = paused || (names_pool && wave.state == wave_state::paused);
+    }
+    return vm.wave.empty() && !paused;
+}
+
+bool pool_step::is_over_budget() const {
+    return limits_ != nullptr &&
+           unavailability(record_, observed_, limits_->minimum_vms).exceeded(limits_->budget).has_value();
+}
+
+operation_context pool_step::context(const vm_id& id) const {
+    return {operation_id(absl::StrCat(change_.value(), ":", id.value())), view_.self, view_.now};
+}
+
+bool pool_step::apply(transition_result result) {
+    if (!result) {
+        return false;
+    }
+    record_ = *std::move(result);
+    return true;
+}
+
+}  // namespace masticpass
--- a/source/decision/maintenance/transition.h
+++ b/source/decision/maintenance/transition.h
@@ -65,7 +65,13 @@
 // the reboot into the new role can be called again.
 transition_result renew_action(const pool_record& record, const vm_id& vm, const boot_evidence& seen);
 
-// `reserved` back to `serving`, if `operation` is the one that reserved it.
+// `failed` to `reserved` for a VM that answers again without having restarted, so that it drains and is
+// rebooted. The VM is out of service already, so the budget is not checked.
+transition_result restart_failed(const pool_record& record, const vm_id& vm,
+                                 const operation_context& context);
+
+// `reserved` back to `serving`, or to `failed` after restart_failed(), if `operation` is the one that
+// reserved it.
 transition_result withdraw(const pool_record& record, const vm_id& vm, const operation_id& operation,
                            absl::Time now);
 
--- /dev/null
+++ b/source/decision/maintenance/wave_planner.cpp
@@ -0,0 +1,174 @@
+#include "decision/maintenance/wave_planner.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace masticpass {
+
+namespace {
+
+int rounds(int count, int limit) {
+    return (count + limit - 1) / limit;
+}
+
+int cap(const std::optional<int>& limit, int bound) {
+    return limit ? std::min(*limit, bound) : bound;
+}
+
+struct candidate {
+    vm_id id;
+    const pool_vm* vm = nullptr;
+    wave_name wave;
+    bool restartable = false;
+};
+
+// Chooses VMs one after the other and keeps count of what the choices make unavailable.
+class pool_planner {
+public:
+    pool_planner(const pool_record& record, const pool_limits& limits, const unavailable_vms& observed,
+                 std::vector<candidate> candidates)
+        : budget_(limits.budget),
+          counts_(record, observed, limits.minimum_vms),
+          candidates_(std::move(candidates)) {
+        for (const candidate& item : candidates_) {
+            ++zone_pending_[item.vm->zone];
+            ++rack_pending_[item.vm->rack];
+        }
+    }
+
+    std::vector<planned_vm> plan() {
+        std::vector<planned_vm> planned;
+        while (true) {
+            auto best = candidates_.end();
+            for (auto item = candidates_.begin(); item != candidates_.end(); ++item) {
+                if (has_room(*item) && (best == candidates_.end() || order(*item) < order(*best))) {
+                    best = item;
+                }
+            }
+            if (best == candidates_.end()) {
+                return planned;
+            }
+            planned.push_back({best->id, best->wave});
+            if (!best->restartable) {
+                counts_.add(*best->vm);
+            }
+            --zone_pending_[best->vm->zone];
+            --rack_pending_[best->vm->rack];
+            candidates_.erase(best);
+        }
+    }
+
+private:
+    bool has_room(const candidate& item) const {
+        return item.restartable ? !counts_.exceeded(budget_).has_value()
+                                : counts_.has_room_for(*item.vm, budget_);
+    }
+
+    // Smaller is better. Staying in domains that are open already keeps others closed, which matters only
+    // where the number of open domains is limited. Taking from the domain with the most rounds left keeps one
+    // domain from being the last to finish.
+    std::tuple<bool, bool, bool, int, int, absl::Time> order(const candidate& item) const {
+        const pool_vm& vm = *item.vm;
+        const int zone_rounds =
+            rounds(zone_pending_.at(vm.zone), cap(budget_.max_unavailable_per_zone, budget_.max_unavailable));
+        const int rack_rounds =
+            rounds(rack_pending_.at(vm.rack), cap(budget_.max_unavailable_per_rack, budget_.max_unavailable));
+        return {!item.restartable,
+                budget_.max_zones_unavailable && counts_.in_zone(vm.zone) == 0,
+                budget_.max_racks_unavailable && counts_.in_rack(vm.rack) == 0,
+                -zone_rounds,
+                -rack_rounds,
+                vm.maintained_at};
+    }
+
+    const pool_budget& budget_;
+    unavailability counts_;
+    std::vector<candidate> candidates_;
+    std::map<zone_name, int> zone_pending_;
+    std::map<rack_name, int> rack_pending_;
+};
+
+bool names_pool(const declared_wave& wave, const pool_name& pool) {
+    return std::find(wave.pools.begin(), wave.pools.end(), pool) != wave.pools.end();
+}
+
+// The running wave that the VM is pending for, an empty name if it is merely due, nullopt if neither.
+std::optional<wave_name> purpose(const pool_record& record, const pool_vm& vm,
+                                 absl::Span<const declared_wave> waves, absl::Time now) {
+    bool paused = false;
+    for (const declared_wave& wave : waves) {
+        if (!names_pool(wave, record.pool)) {
+            continue;
+        }
+        paused = paused || wave.state == wave_state::paused;
+        const auto progress = record.waves.find(wave.name);
+        if (wave.state == wave_state::running && progress != record.waves.end() && !progress->second.ended &&
+            is_pending(vm, progress->second.started_at)) {
+            return wave.name;
+        }
+    }
+    if (!paused && counts_in_size(vm) && now >= vm.maintained_at + maintenance_period - due_lead) {
+        return wave_name();
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<planned_vm> plan_wave(const pool_record& record, const pool_limits& limits,
+                                  const unavailable_vms& observed, const unavailable_vms& restartable,
+                                  absl::Span<const declared_wave> waves, absl::Time now) {
+    std::vector<candidate> candidates;
+    for (const auto& [id, vm] : record.vms) {
+        const bool can_restart = restartable.contains(id);
+        if (vm.phase != vm_phase::serving || (observed.contains(id) && !can_restart)) {
+            continue;
+        }
+        if (auto wave = purpose(record, vm, waves, now)) {
+            candidates.push_back({id, &vm, *std::move(wave), can_restart});
+        }
+    }
+    return pool_planner(record, limits, observed, std::move(candidates)).plan();
+}
+
+bool is_pending(const pool_vm& vm, absl::Time started_at) {
+    return counts_in_size(vm) && vm.maintained_at < started_at;
+}
+
+bool has_not_returned(const pool_vm& vm, absl::Time now) {
+    return (vm.phase == vm_phase::failed || vm.phase == vm_phase::acting) &&
+           now - vm.since > never_returned_after;
+}
+
+std::optional<int> lower_bound_rounds(const pool_record& record, const pool_budget& budget) {
+    if (!check_satisfiable({budget, 0}, std::nullopt)) {
+        return std::nullopt;
+    }
+    std::map<zone_name, int> zones;
+    std::map<rack_name, int> racks;
+    for (const auto& [id, vm] : record.vms) {
+        if (counts_in_size(vm)) {
+            ++zones[vm.zone];
+            ++racks[vm.rack];
+        }
+    }
+    const int per_zone = cap(budget.max_unavailable_per_zone, budget.max_unavailable);
+    const int per_rack = cap(budget.max_unavailable_per_rack, per_zone);
+    int bound = rounds(pool_size(record), budget.max_unavailable);
+    int zone_rounds = 0;
+    for (const auto& [zone, count] : zones) {
+        bound = std::max(bound, rounds(count, per_zone));
+        zone_rounds += rounds(count, per_zone);
+    }
+    int rack_rounds = 0;
+    for (const auto& [rack, count] : racks) {
+        bound = std::max(bound, rounds(count, per_rack));
+        rack_rounds += rounds(count, per_rack);
+    }
+    bound = std::max(bound, rounds(zone_rounds, budget.max_zones_unavailable.value_or(zone_rounds + 1)));
+    return std::max(bound, rounds(rack_rounds, budget.max_racks_unavailable.value_or(rack_rounds + 1)));
+}
+
+}  // namespace masticpass
--- a/source/decision/maintenance/wave_planner.h
+++ b/source/decision/maintenance/wave_planner.h
@@ -39,8 +39,8 @@
 // unavailable VMs first where the number of such domains is limited, then the domains that need the most
 // rounds. Only running waves that have started in the record are served.
 std::vector<planned_vm> plan_wave(const pool_record& record, const pool_limits& limits,
-                                  const unavailable_vms& observed, absl::Span<const declared_wave> waves,
-                                  absl::Time now);
+                                  const unavailable_vms& observed, const unavailable_vms& restartable,
+                                  absl::Span<const declared_wave> waves, absl::Time now);
 
 // True if the VM still has to be maintained for a wave that started at `started_at`.
 bool is_pending(const pool_vm& vm, absl::Time started_at);
