--- /dev/null
+++ b/source/agent/periodic_thread.h
@@ -0,0 +1,63 @@
+#ifndef MASTICPASS_AGENT_PERIODIC_THREAD_H
+#define MASTICPASS_AGENT_PERIODIC_THREAD_H
+
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+namespace masticpass {
+
+// A thread that does the same work again and again, with a pause between two runs.
+// Thread safety: `wake` may be called from any thread; construct and destroy on one thread. The destructor
+// waits for the run in progress.
+class periodic_thread {
+public:
+    periodic_thread(absl::Duration pause, std::function<void()> work)
+        : pause_(pause), work_(std::move(work)), thread_([this] { loop(); }) {}
+    periodic_thread(const periodic_thread&) = delete;
+    periodic_thread& operator=(const periodic_thread&) = delete;
+    ~periodic_thread() {
+        {
+            const absl::MutexLock lock(&mutex_);
+            stopping_ = true;
+        }
+        thread_.join();
+    }
+
+    // Ends the present pause.
+    void wake() {
+        const absl::MutexLock lock(&mutex_);
+        awake_ = true;
+    }
+
+private:
+    void loop() {
+        while (true) {
+            work_();
+            const absl::MutexLock lock(&mutex_);
+            mutex_.AwaitWithTimeout(absl::Condition(this, &periodic_thread::must_run), pause_);
+            if (stopping_) {
+                return;
+            }
+            awake_ = false;
+        }
+    }
+
+    bool must_run() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return stopping_ || awake_; }
+
+    const absl::Duration pause_;
+    const std::function<void()> work_;
+    absl::Mutex mutex_;
+    bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+    bool awake_ ABSL_GUARDED_BY(mutex_) = false;
+    // Last, so that the thread starts when all other members exist.
+    std::thread thread_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/agent/probe_agent.h
@@ -0,0 +1,52 @@
+#ifndef MASTICPASS_AGENT_PROBE_AGENT_H
+#define MASTICPASS_AGENT_PROBE_AGENT_H
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include <absl/time/time.h>
+
+#include "agent/periodic_thread.h"
+#include "backend/backend_client.h"
+#include "common/clock.h"
+#include "routing/server_directory.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// Probes the health of the zone's backend servers and records what it finds in the directory. The servers are
+// divided among the zone's entry VMs; a server that anyone reports as unreachable is probed by all.
+// Ownership: owns one thread; borrows everything passed in.
+// Thread safety: construct and destroy on one thread.
+class probe_agent {
+public:
+    // `is_own_share` says whether this entry VM has to probe the VM; called on the agent's thread.
+    probe_agent(backend_client& backends, server_directory& directory, const clock& time_source,
+                metrics_registry& metrics, absl::Duration interval,
+                std::function<bool(const vm_id&)> is_own_share);
+
+private:
+    struct probe_state {
+        boot_id boot;
+        int failures = 0;
+        absl::Time next = absl::InfinitePast();
+    };
+
+    void probe_all();
+    void probe(const server_state& server, probe_state& state);
+
+    backend_client& backends_;
+    server_directory& directory_;
+    const clock& clock_;
+    metrics_registry& metrics_;
+    const absl::Duration interval_;
+    const std::function<bool(const vm_id&)> is_own_share_;
+    // Used by the agent's thread only.
+    std::map<vm_id, probe_state> states_;
+    periodic_thread thread_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/agent/vm_list_agent.cpp
@@ -0,0 +1,35 @@
+#include "agent/vm_list_agent.h"
+
+#include <utility>
+
+namespace masticpass {
+
+vm_list_agent::vm_list_agent(vm_list& list, absl::Duration interval, metrics_registry& metrics,
+                             std::function<void(const vm_listing&)> changed)
+    : list_(list), metrics_(metrics), changed_(std::move(changed)), thread_(interval, [this] { poll(); }) {}
+
+std::shared_ptr<const vm_listing> vm_list_agent::latest() const {
+    const absl::MutexLock lock(&mutex_);
+    return latest_;
+}
+
+void vm_list_agent::poll() {
+    const std::int64_t known = latest()->index;
+    auto answer = list_.list(zone_name(), known);
+    if (!answer) {
+        metrics_.count({"masticpass_platform_errors_total", "call", "vm-list"});
+        return;
+    }
+    // An older index is a stale answer of the platform.
+    if (!answer->has_value() || (**answer).index <= known) {
+        return;
+    }
+    const auto listing = std::make_shared<const vm_listing>(std::move(**answer));
+    {
+        const absl::MutexLock lock(&mutex_);
+        latest_ = listing;
+    }
+    changed_(*listing);
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/agent/vm_list_agent.h
@@ -0,0 +1,42 @@
+#ifndef MASTICPASS_AGENT_VM_LIST_AGENT_H
+#define MASTICPASS_AGENT_VM_LIST_AGENT_H
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include "agent/periodic_thread.h"
+#include "platform/vm_list.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// Polls the platform's VM list and keeps its newest answer. Owns one thread; borrows the list and the
+// metrics. Thread safety: `latest` may be called from any thread.
+class vm_list_agent {
+public:
+    // `changed` is called on the agent's thread with each list that is newer than the one before.
+    vm_list_agent(vm_list& list, absl::Duration interval, metrics_registry& metrics,
+                  std::function<void(const vm_listing&)> changed);
+
+    // The newest list; an empty one with index 0 before the first answer.
+    std::shared_ptr<const vm_listing> latest() const;
+
+private:
+    void poll();
+
+    vm_list& list_;
+    metrics_registry& metrics_;
+    const std::function<void(const vm_listing&)> changed_;
+    mutable absl::Mutex mutex_;
+    std::shared_ptr<const vm_listing> latest_ ABSL_GUARDED_BY(mutex_) = std::make_shared<vm_listing>();
+    periodic_thread thread_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/peer/process_check.h
@@ -0,0 +1,17 @@
+#ifndef MASTICPASS_PEER_PROCESS_CHECK_H
+#define MASTICPASS_PEER_PROCESS_CHECK_H
+
+#include <absl/time/time.h>
+
+#include "settings/socket_address.h"
+
+namespace masticpass {
+
+// True only if the host answered that no process listens at the address. A host that does not answer, or one
+// that is reported unreachable, proves nothing, and neither does a frozen process, whose kernel still accepts
+// connections. Thread safety: may be called from any thread. Returns within `time_limit`.
+bool is_process_gone(const socket_address& address, absl::Duration time_limit);
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/status/status_server.h
@@ -0,0 +1,42 @@
+#ifndef MASTICPASS_STATUS_STATUS_SERVER_H
+#define MASTICPASS_STATUS_STATUS_SERVER_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "http/server.h"
+#include "settings/socket_address.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// Whether the balancer should send callers here, with the reason if not.
+struct health_state {
+    bool ready = false;
+    std::string reason;
+};
+
+// Serves `GET /health` for the balancer (200, or 503 with the reason) and `GET /metrics` in the Prometheus
+// text format. Ownership: owns its HTTP server; borrows the metrics. Thread safety: `create`, `start` and
+// `stop` on one thread. `health` is called on the server's threads.
+class status_server {
+public:
+    // Binds the address. The error says why it cannot be used.
+    static tl::expected<std::unique_ptr<status_server>, std::string> create(
+        const socket_address& address, std::function<health_state()> health, const metrics_registry& metrics);
+
+    void start() { server_->start(); }
+    void stop() { server_->stop(); }
+
+private:
+    explicit status_server(std::unique_ptr<http_server> server) : server_(std::move(server)) {}
+
+    std::unique_ptr<http_server> server_;
+};
+
+}  // namespace masticpass
+
+#endif
