--- /dev/null
+++ b/tests/standin/balancer.h
@@ -0,0 +1,50 @@
+#ifndef MASTICPASS_STANDIN_BALANCER_H
+#define MASTICPASS_STANDIN_BALANCER_H
+
+#include <atomic>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace masticpass::standin {
+
+// An entry VM as the balancer knows it, both addresses as IP:port.
+struct balanced_entry {
+    std::string caller_address;
+    std::string status_address;
+};
+
+// Chooses among the entry VMs whose health address answers 200; checks each a few times a second.
+// Thread safety: `choose` may be called from any thread with its own generator.
+class balancer {
+public:
+    explicit balancer(std::vector<balanced_entry> entries);
+    ~balancer();
+    balancer(const balancer&) = delete;
+    balancer& operator=(const balancer&) = delete;
+
+    // The caller address of a healthy entry VM; empty if there is none.
+    std::string choose(std::mt19937_64& generator) const;
+
+    // Blocks until as many entry VMs as `count` are healthy; false if that takes longer than `seconds`.
+    bool wait_for(std::size_t count, int seconds) const;
+
+private:
+    struct member {
+        balanced_entry entry;
+        std::atomic<bool> healthy = false;
+    };
+
+    void check_all();
+    std::size_t healthy_count() const;
+
+    std::vector<std::unique_ptr<member>> members_;
+    std::atomic<bool> stopping_ = false;
+    std::thread thread_;
+};
+
+}  // namespace masticpass::standin
+
+#endif
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -1,13 +1,18 @@
 #include <cstdio>
-#include <cstring>
+#include <string_view>
 
 #include "standin/backend_standin.h"
+#include "standin/caller_standin.h"
 
-// Usage: masticpass_standin backend|platform OPTIONS
+// Usage: masticpass_standin backend|caller OPTIONS
 int main(int argument_count, char** arguments) {
-    if (argument_count >= 2 && std::strcmp(arguments[1], "backend") == 0) {
+    const std::string_view kind = argument_count >= 2 ? arguments[1] : "";
+    if (kind == "backend") {
         return masticpass::standin::run_backend_standin(argument_count - 1, arguments + 1);
     }
-    std::fputs("usage: masticpass_standin backend|platform OPTIONS\n", stderr);
+    if (kind == "caller") {
+        return masticpass::standin::run_caller_standin(argument_count - 1, arguments + 1);
+    }
+    std::fputs("usage: masticpass_standin backend|caller OPTIONS\n", stderr);
     return 2;
 }
