--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-move_round::move_round(absl::btree_map<pool_name, planned_pool>& pools, absl::Span<const team_quota> quotas,
+move_round::move_round(planned_pools& pools, absl::Span<const team_quota> quotas,
                        const placement_policy& policy, absl::Time now)
     : pools_(pools), policy_(policy), now_(now) {
     quotas_.set_quotas(quotas);
@@ -118,7 +118,7 @@
         }
         // The id decides between equal VMs, so that the order of the input does not matter.
         if (best == vms.size() ||
-            std::tuple(spread(vm), vm.vm) < std::tuple(spread(vms[best]), vms[best].vm)) {
+            std::tuple(spread(vm), vm.vm.value()) < std::tuple(spread(vms[best]), vms[best].vm.value())) {
             best = index;
         }
     }
--- a/source/decision/placement/move_round.h
+++ b/source/decision/placement/move_round.h
@@ -3,7 +3,6 @@
 
 #include <vector>
 
-#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 #include <absl/types/span.h>
@@ -20,8 +19,8 @@
 class move_round {
 public:
     // Brings the clocks of pools that give away VMs up to date while it plans.
-    move_round(absl::btree_map<pool_name, planned_pool>& pools, absl::Span<const team_quota> quotas,
-               const placement_policy& policy, absl::Time now);
+    move_round(planned_pools& pools, absl::Span<const team_quota> quotas, const placement_policy& policy,
+               absl::Time now);
 
     // The moves in the order of importance. Call it once.
     std::vector<planned_move> choose();
@@ -50,7 +49,7 @@
     void fill_shortages();
     void refill_buffers();
 
-    absl::btree_map<pool_name, planned_pool>& pools_;
+    planned_pools& pools_;
     const placement_policy& policy_;
     absl::Time now_;
     quota_ledger quotas_;
--- a/source/decision/placement/plan_placement.cpp
+++ b/source/decision/placement/plan_placement.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-placement_plan plan_round(absl::btree_map<pool_name, planned_pool>& pools,
-                          absl::Span<const team_quota> quotas, const placement_policy& policy,
-                          absl::Time now) {
+placement_plan plan_round(planned_pools& pools, absl::Span<const team_quota> quotas,
+                          const placement_policy& policy, absl::Time now) {
     placement_plan plan;
     plan.targets.reserve(pools.size());
     for (const auto& [name, pool] : pools) {
@@ -29,7 +28,7 @@
 
 placement_plan plan_placement(absl::Span<const placement_pool> pools, absl::Span<const team_quota> quotas,
                               const placement_policy& policy, placement_history& history, absl::Time now) {
-    absl::btree_map<pool_name, planned_pool> planned;
+    planned_pools planned;
     for (const auto& input : pools) {
         auto& pool = planned[input.pool];
         pool.input = input;
--- a/source/decision/placement/pool_assessment.h
+++ b/source/decision/placement/pool_assessment.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
 #include "common/identifier.h"
@@ -42,6 +43,15 @@
     pool_clocks clocks;
 };
 
+// Orders pools by name.
+struct pool_name_order {
+    bool operator()(const pool_name& left, const pool_name& right) const {
+        return left.value() < right.value();
+    }
+};
+
+using planned_pools = absl::btree_map<pool_name, planned_pool, pool_name_order>;
+
 // Demand of a pool, split by what can help with it.
 struct demand_split {
     // Held by the slots that serve now.
--- /dev/null
+++ b/tests/decision/placement/demand_tracker_test.cpp
@@ -0,0 +1,82 @@
+#include "decision/placement/demand_tracker.h"
+
+#include <doctest/doctest.h>
+
+namespace masticpass {
+
+namespace {
+
+const service_name proofs("proofs");
+const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+
+// Records one sample per second and returns the time after the last one.
+absl::Time record_seconds(demand_tracker& tracker, absl::Time from, int seconds, double slots) {
+    for (int second = 0; second < seconds; ++second) {
+        from += absl::Seconds(1);
+        tracker.record(proofs, from, slots);
+    }
+    return from;
+}
+
+}  // namespace
+
+// Guards against moves that follow a burst, which ends before the VMs arrive.
+TEST_CASE("a burst of 5 times the mean for 8 s raises the sustained demand by less than a tenth") {
+    demand_tracker tracker;
+    auto now = record_seconds(tracker, start, 600, 40);
+    now = record_seconds(tracker, now, 8, 200);
+    CHECK(tracker.estimate(proofs, now).sustained_slots < 44);
+    CHECK(tracker.estimate(proofs, now).peak_slots == 200);
+}
+
+// Guards against an estimate that depends on where in the cycle of bursts it is asked for.
+TEST_CASE("bursts in turn leave the mean as sustained demand") {
+    demand_tracker tracker;
+    auto now = start;
+    for (int cycle = 0; cycle < 40; ++cycle) {
+        now = record_seconds(tracker, now, 8, 200);
+        now = record_seconds(tracker, now, 32, 2);
+        if (cycle >= 15) {
+            CHECK(tracker.estimate(proofs, now).sustained_slots == doctest::Approx(41.6).epsilon(0.08));
+        }
+    }
+}
+
+// Guards against a tracker that treats a lasting rise as a burst.
+TEST_CASE("a lasting rise is sustained demand after one window") {
+    demand_tracker tracker;
+    auto now = record_seconds(tracker, start, 600, 40);
+    now = record_seconds(tracker, now, 8 * 60, 80);
+    CHECK(tracker.estimate(proofs, now).sustained_slots == doctest::Approx(80).epsilon(0.1));
+}
+
+// Guards against a lost connection to the reporters that is read as an idle service.
+TEST_CASE("time without samples is unknown and not zero demand") {
+    demand_tracker tracker;
+    auto now = record_seconds(tracker, start, 400, 40);
+    tracker.record(proofs, now + absl::Minutes(4), 40);
+    CHECK(tracker.estimate(proofs, now + absl::Minutes(4)).sustained_slots == doctest::Approx(40));
+    CHECK_FALSE(tracker.estimate(proofs, now + absl::Minutes(30)).reliable);
+}
+
+TEST_CASE("an estimate is reliable once samples cover half the window") {
+    demand_tracker tracker;
+    CHECK_FALSE(tracker.estimate(proofs, start).reliable);
+    auto now = record_seconds(tracker, start, 200, 40);
+    CHECK_FALSE(tracker.estimate(proofs, now).reliable);
+    now = record_seconds(tracker, now, 50, 40);
+    CHECK(tracker.estimate(proofs, now).reliable);
+}
+
+// Guards against samples that arrive twice or late and would count double.
+TEST_CASE("a sample that is not newer is ignored") {
+    demand_tracker tracker;
+    const auto now = record_seconds(tracker, start, 400, 40);
+    tracker.record(proofs, now, 4000);
+    tracker.record(proofs, now - absl::Seconds(5), 4000);
+    CHECK(tracker.estimate(proofs, now).peak_slots == 40);
+    tracker.remove(proofs);
+    CHECK(tracker.services() == 0);
+}
+
+}  // namespace masticpass
