Add server health with bounded ejection

A kind that fails on at least three servers, and on more servers than it succeeds on, is held responsible itself; counting only the failing servers would blame every kind when three of ten servers fail everything.

--- /dev/null
+++ b/measure/support/serving_policy.h
@@ -0,0 +1,53 @@
+#ifndef MASTICPASS_MEASURE_SUPPORT_SERVING_POLICY_H
+#define MASTICPASS_MEASURE_SUPPORT_SERVING_POLICY_H
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "decision/serving/attempt_outcome.h"
+#include "decision/serving/scheduler_types.h"
+#include "support/serving_trace.h"
+
+namespace masticpass::measure {
+
+struct policy_choice {
+    std::size_t job = 0;
+    int server = 0;
+};
+
+// Decides which job runs where. Times in seconds.
+class serving_policy {
+public:
+    serving_policy() = default;
+    serving_policy(const serving_policy&) = delete;
+    serving_policy& operator=(const serving_policy&) = delete;
+    virtual ~serving_policy() = default;
+
+    virtual void arrived(std::size_t job, double now) = 0;
+    // Called until it returns nullopt.
+    virtual std::optional<policy_choice> next(double now) = 0;
+    virtual void ended(std::size_t job, int server, const attempt_result& result, double now) = 0;
+    // Next time at which the policy wants to act without an event.
+    virtual double wake_up(double now) = 0;
+};
+
+enum class queue_order { first_come, deadline };
+
+// One queue per service in a fixed order; jobs whose deadline has passed are dropped, failed ones are retried
+// without a limit if that is allowed.
+std::unique_ptr<serving_policy> make_simple_policy(const serving_trace& trace, queue_order order);
+
+struct scheduler_policy_options {
+    scheduler_options scheduler;
+    bool ejection = true;
+};
+
+// The scheduler and the server health of this project.
+std::unique_ptr<serving_policy> make_scheduler_policy(const serving_trace& trace,
+                                                      scheduler_policy_options options);
+
+}  // namespace masticpass::measure
+
+#endif
--- /dev/null
+++ b/source/decision/serving/decayed_count.h
@@ -0,0 +1,29 @@
+#ifndef MASTICPASS_DECISION_SERVING_DECAYED_COUNT_H
+#define MASTICPASS_DECISION_SERVING_DECAYED_COUNT_H
+
+#include <cmath>
+
+#include <absl/time/time.h>
+
+namespace masticpass {
+
+// A sum whose parts lose weight exponentially with age. `now` must not go back.
+class decayed_count {
+public:
+    void add(double amount, absl::Time now, absl::Duration memory) {
+        value_ = value(now, memory) + amount;
+        time_ = now;
+    }
+
+    double value(absl::Time now, absl::Duration memory) const {
+        return value_ == 0.0 ? 0.0 : value_ * std::exp(-absl::FDivDuration(now - time_, memory));
+    }
+
+private:
+    double value_ = 0.0;
+    absl::Time time_ = absl::InfinitePast();
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/serving/failure_evidence.cpp
@@ -0,0 +1,82 @@
+#include "decision/serving/failure_evidence.h"
+
+#include <algorithm>
+
+namespace masticpass {
+namespace {
+
+// Below this weight an outcome is too old to count.
+constexpr double least_weight = 0.2;
+
+}  // namespace
+
+failure_evidence::failure_evidence(evidence_options options) : options_(options) {}
+
+void failure_evidence::record(const vm_id& server, const job_kind& kind, bool succeeded, absl::Time now) {
+    if (!kinds_.contains(kind) && kinds_.size() >= options_.largest_kinds) {
+        forget_least_recent();
+    }
+    kind_record& record = kinds_[kind];
+    record.last_recorded = now;
+    outcome_count& count = record.servers[server];
+    (succeeded ? count.succeeded : count.failed).add(1.0, now, options_.memory);
+}
+
+bool failure_evidence::is_failing(const vm_id& server, absl::Time now) const {
+    double failed = 0.0;
+    double succeeded = 0.0;
+    for (const auto& [kind, record] : kinds_) {
+        const auto count = record.servers.find(server);
+        if (count == record.servers.end()) {
+            continue;
+        }
+        succeeded += count->second.succeeded.value(now, options_.memory);
+        if (!is_faulty(record, now) && succeeds_elsewhere(record, server, now)) {
+            failed += count->second.failed.value(now, options_.memory);
+        }
+    }
+    return failed + succeeded >= options_.least_attempts &&
+           failed >= options_.failure_ratio * (failed + succeeded);
+}
+
+bool failure_evidence::is_faulty(const job_kind& kind, absl::Time now) const {
+    const auto found = kinds_.find(kind);
+    return found != kinds_.end() && is_faulty(found->second, now);
+}
+
+void failure_evidence::forget(const vm_id& server) {
+    for (auto& [kind, record] : kinds_) {
+        record.servers.erase(server);
+    }
+}
+
+bool failure_evidence::is_faulty(const kind_record& record, absl::Time now) const {
+    std::size_t failing = 0;
+    std::size_t succeeding = 0;
+    for (const auto& [server, count] : record.servers) {
+        const double failed = count.failed.value(now, options_.memory);
+        const double succeeded = count.succeeded.value(now, options_.memory);
+        if (failed + succeeded < least_weight) {
+            continue;
+        }
+        ++(failed >= options_.failure_ratio * (failed + succeeded) ? failing : succeeding);
+    }
+    // Several failing servers do not make a kind responsible that succeeds on more of them.
+    return failing >= options_.servers_to_blame_kind && failing > succeeding;
+}
+
+bool failure_evidence::succeeds_elsewhere(const kind_record& record, const vm_id& server,
+                                          absl::Time now) const {
+    return std::any_of(record.servers.begin(), record.servers.end(), [&](const auto& other) {
+        return other.first != server && other.second.succeeded.value(now, options_.memory) >= least_weight;
+    });
+}
+
+void failure_evidence::forget_least_recent() {
+    const auto oldest = std::min_element(kinds_.begin(), kinds_.end(), [](const auto& a, const auto& b) {
+        return a.second.last_recorded < b.second.last_recorded;
+    });
+    kinds_.erase(oldest);
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/serving/failure_evidence.h
@@ -0,0 +1,63 @@
+#ifndef MASTICPASS_DECISION_SERVING_FAILURE_EVIDENCE_H
+#define MASTICPASS_DECISION_SERVING_FAILURE_EVIDENCE_H
+
+#include <cstddef>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include "common/identifier.h"
+#include "decision/serving/decayed_count.h"
+
+namespace masticpass {
+
+struct evidence_options {
+    // Time in which an attempt loses about two thirds of its weight.
+    absl::Duration memory = absl::Seconds(30);
+    // Share of failures from which on a server or a kind on a server counts as failing.
+    double failure_ratio = 0.5;
+    // Weight of attempts needed to judge a server.
+    double least_attempts = 5.0;
+    // A kind that fails on this many servers is held responsible itself.
+    std::size_t servers_to_blame_kind = 3;
+    // Bounds the memory; the kind recorded least recently is forgotten first.
+    std::size_t largest_kinds = 128;
+};
+
+// Recent successes and failures by job kind and server, which tell a failing server from a failing kind.
+// Thread safety: none; the caller holds a lock. `now` must not go back.
+class failure_evidence {
+public:
+    explicit failure_evidence(evidence_options options);
+
+    void record(const vm_id& server, const job_kind& kind, bool succeeded, absl::Time now);
+
+    // Whether the server often fails kinds that succeed elsewhere.
+    bool is_failing(const vm_id& server, absl::Time now) const;
+
+    // Whether the kind fails on so many servers that it is responsible itself.
+    bool is_faulty(const job_kind& kind, absl::Time now) const;
+
+    void forget(const vm_id& server);
+
+private:
+    struct outcome_count {
+        decayed_count succeeded;
+        decayed_count failed;
+    };
+    struct kind_record {
+        absl::flat_hash_map<vm_id, outcome_count> servers;
+        absl::Time last_recorded;
+    };
+
+    bool is_faulty(const kind_record& record, absl::Time now) const;
+    bool succeeds_elsewhere(const kind_record& record, const vm_id& server, absl::Time now) const;
+    void forget_least_recent();
+
+    evidence_options options_;
+    absl::flat_hash_map<job_kind, kind_record> kinds_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/serving/leaving_servers.cpp
@@ -0,0 +1,54 @@
+#include "decision/serving/leaving_servers.h"
+
+#include <algorithm>
+
+namespace masticpass {
+namespace {
+
+// A source would have to lag by this many boots of one VM to be believed wrongly.
+constexpr std::size_t remembered_boots = 8;
+
+}  // namespace
+
+void leaving_servers::mark(const vm_id& server, const boot_id& boot) {
+    server_state& state = servers_[server];
+    if (!boot.empty() && state.was_replaced(boot)) {
+        return;
+    }
+    boot_observed(server, boot);
+    state.leaving = true;
+}
+
+void leaving_servers::boot_observed(const vm_id& server, const boot_id& boot) {
+    server_state& state = servers_[server];
+    if (boot.empty() || boot == state.present || state.was_replaced(boot)) {
+        return;
+    }
+    if (state.present.empty()) {
+        // A mark without a boot identity may concern this boot, so it stays.
+        state.present = boot;
+        return;
+    }
+    state.replaced.push_back(state.present);
+    if (state.replaced.size() > remembered_boots) {
+        state.replaced.pop_front();
+    }
+    state.present = boot;
+    state.leaving = false;
+}
+
+bool leaving_servers::is_leaving(const vm_id& server) const {
+    const auto found = servers_.find(server);
+    return found != servers_.end() && found->second.leaving;
+}
+
+boot_id leaving_servers::present_boot(const vm_id& server) const {
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? boot_id() : found->second.present;
+}
+
+bool leaving_servers::server_state::was_replaced(const boot_id& boot) const {
+    return std::find(replaced.begin(), replaced.end(), boot) != replaced.end();
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/decision/serving/server_health.h
@@ -0,0 +1,74 @@
+#ifndef MASTICPASS_DECISION_SERVING_SERVER_HEALTH_H
+#define MASTICPASS_DECISION_SERVING_SERVER_HEALTH_H
+
+#include <cstddef>
+#include <optional>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <absl/types/span.h>
+
+#include "common/identifier.h"
+#include "decision/serving/failure_evidence.h"
+#include "decision/serving/leaving_servers.h"
+
+namespace masticpass {
+
+struct server_health_options {
+    evidence_options evidence;
+    absl::Duration first_back_off = absl::Seconds(5);
+    absl::Duration largest_back_off = absl::Minutes(5);
+    // At most one server in this many is ejected.
+    std::size_t servers_per_ejection = 3;
+};
+
+// Which servers of one service in one zone get work. A server is ejected when it often fails kinds of job
+// that succeed elsewhere, and comes back after a successful probe. Thread safety: none; the caller holds a
+// lock. `now` must not go back.
+class server_health {
+public:
+    explicit server_health(server_health_options options = {});
+
+    // Replaces the set of servers. If too many of the rest are ejected, those ejected first come back.
+    void update_servers(absl::Span<const vm_id> servers);
+
+    // Records an attempt. A refusal that says that the server is leaving or full is not a failure.
+    void attempt_ended(const vm_id& server, const job_kind& kind, bool succeeded, absl::Time now);
+
+    bool is_ejected(const vm_id& server) const;
+    // Neither ejected nor leaving, and one of the servers.
+    bool accepts_work(const vm_id& server) const;
+    // Whether the kind itself is held responsible, so that its requests are to be refused for now.
+    bool kind_is_faulty(const job_kind& kind, absl::Time now) const { return evidence_.is_faulty(kind, now); }
+
+    // An ejected server whose back-off has passed. It is not returned again before probe_ended.
+    [[nodiscard]] std::optional<vm_id> next_probe(absl::Time now);
+    void probe_ended(const vm_id& server, bool succeeded, absl::Time now);
+
+    leaving_servers& leaving() { return leaving_; }
+    std::size_t ejected() const { return ejected_; }
+    std::size_t largest_ejected() const { return servers_.size() / options_.servers_per_ejection; }
+
+private:
+    struct server_state {
+        bool ejected = false;
+        bool probing = false;
+        absl::Time ejected_at = absl::InfinitePast();
+        absl::Time probe_at = absl::InfiniteFuture();
+        // The back-off of the next ejection.
+        absl::Duration back_off;
+    };
+
+    void eject(server_state& state, absl::Time now);
+    void reinstate(const vm_id& server, server_state& state);
+
+    server_health_options options_;
+    failure_evidence evidence_;
+    leaving_servers leaving_;
+    absl::flat_hash_map<vm_id, server_state> servers_;
+    std::size_t ejected_ = 0;
+};
+
+}  // namespace masticpass
+
+#endif
