--- /dev/null
+++ b/source/decision/configuration/configuration_problem.h
@@ -0,0 +1,27 @@
+#ifndef MASTICPASS_DECISION_CONFIGURATION_CONFIGURATION_PROBLEM_H
+#define MASTICPASS_DECISION_CONFIGURATION_CONFIGURATION_PROBLEM_H
+
+#include <string>
+#include <vector>
+
+namespace masticpass {
+
+// One reason why a configuration, a change or a record is refused.
+struct configuration_problem {
+    // The section or member, for example `pool/weaving.budget.max_unavailable`; empty for the whole text.
+    std::string path;
+    std::string message;
+
+    friend bool operator==(const configuration_problem&, const configuration_problem&) = default;
+};
+
+using configuration_problems = std::vector<configuration_problem>;
+
+// `path: message`.
+inline std::string to_string(const configuration_problem& problem) {
+    return problem.path.empty() ? problem.message : problem.path + ": " + problem.message;
+}
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/decision/configuration/fleet_configuration.h
@@ -0,0 +1,93 @@
+#ifndef MASTICPASS_DECISION_CONFIGURATION_FLEET_CONFIGURATION_H
+#define MASTICPASS_DECISION_CONFIGURATION_FLEET_CONFIGURATION_H
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "common/identifier.h"
+#include "decision/configuration/section_key.h"
+
+namespace masticpass {
+
+// `team/<name>`.
+struct team_section {
+    // The most VMs that the team's pools may have together.
+    int quota_vms = 0;
+
+    friend bool operator==(const team_section&, const team_section&) = default;
+};
+
+// How much of a pool may be unavailable at the same time. An absent limit does not restrict.
+struct budget_section {
+    int max_unavailable = 0;
+    std::optional<int> max_unavailable_per_zone = std::nullopt;
+    std::optional<int> max_unavailable_per_rack = std::nullopt;
+    // Zones or racks that may have unavailable VMs at the same time.
+    std::optional<int> max_zones_unavailable = std::nullopt;
+    std::optional<int> max_racks_unavailable = std::nullopt;
+
+    friend bool operator==(const budget_section&, const budget_section&) = default;
+};
+
+// `pool/<name>`.
+struct pool_section {
+    team_name team;
+    std::vector<zone_name> zones;
+    int minimum_vms = 0;
+    bool spare = false;
+    budget_section budget;
+    // VMs of the pool when its record is created. Later additions and moves appear only in the record.
+    std::vector<vm_id> vms;
+    // The buffer covers the loss of a rack or of a zone.
+    bool survive_rack = true;
+    bool survive_zone = false;
+
+    friend bool operator==(const pool_section&, const pool_section&) = default;
+};
+
+// `service/<name>`. Each VM of the pool runs one instance.
+struct service_section {
+    pool_name pool;
+    int slots = 8;
+    int connections = 64;
+    bool urgent = false;
+    // Run time in milliseconds up to which a request belongs to the short class.
+    int interactive_ms = 1000;
+
+    friend bool operator==(const service_section&, const service_section&) = default;
+};
+
+enum class declared_wave_state { running, paused, cancelled };
+
+// `wave/<name>`.
+struct wave_section {
+    std::vector<pool_name> pools;
+    declared_wave_state state = declared_wave_state::running;
+
+    friend bool operator==(const wave_section&, const wave_section&) = default;
+};
+
+// The declared configuration, or the sections that a change sets.
+struct fleet_configuration {
+    std::map<team_name, team_section> teams;
+    std::map<pool_name, pool_section> pools;
+    std::map<service_name, service_section> services;
+    std::map<wave_name, wave_section> waves;
+
+    friend bool operator==(const fleet_configuration&, const fleet_configuration&) = default;
+};
+
+std::set<section_key> section_keys(const fleet_configuration& configuration);
+bool has_section(const fleet_configuration& configuration, const section_key& key);
+
+// Does nothing if the section does not exist.
+void remove_section(fleet_configuration& configuration, const section_key& key);
+
+// Adds the sections of `sections`, each replacing the one with the same key.
+void set_sections(fleet_configuration& configuration, const fleet_configuration& sections);
+
+}  // namespace masticpass
+
+#endif
