Add the stand-in for the platform

It serves the store protocol, the VM list and VM control with faults that are set at run time. Tests can run it in their own process through the support library that every test links.

--- /dev/null
+++ b/tests/standin/http_front.h
@@ -0,0 +1,44 @@
+#ifndef MASTICPASS_STANDIN_HTTP_FRONT_H
+#define MASTICPASS_STANDIN_HTTP_FRONT_H
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include <httplib.h>
+#include <json/json.h>
+#include <tl/expected.hpp>
+
+namespace masticpass::standin {
+
+// An HTTP server on a thread of its own.
+class http_front {
+public:
+    // One thread serves each open connection, so `maximum_connections` bounds the open connections.
+    explicit http_front(std::size_t maximum_connections);
+    // Stops the server. A connection without a request ends within the idle limit.
+    ~http_front();
+    http_front(const http_front&) = delete;
+    http_front& operator=(const http_front&) = delete;
+
+    // Routes are added before `start`.
+    httplib::Server& server() { return server_; }
+
+    // Starts to listen on an IP address and port; port 0 selects a free one. Returns the address in use.
+    tl::expected<std::string, std::string> start(const std::string& address);
+
+private:
+    httplib::Server server_;
+    socket_t listening_socket_ = INVALID_SOCKET;
+    std::thread thread_;
+};
+
+void respond_json(httplib::Response& response, int status, const Json::Value& body);
+
+// Ends the connection in place of a complete response.
+void lose_response(httplib::Response& response);
+
+}  // namespace masticpass::standin
+
+#endif
--- /dev/null
+++ b/tests/standin/platform_faults.h
@@ -0,0 +1,72 @@
+#ifndef MASTICPASS_STANDIN_PLATFORM_FAULTS_H
+#define MASTICPASS_STANDIN_PLATFORM_FAULTS_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <json/json.h>
+#include <tl/expected.hpp>
+
+namespace masticpass::standin {
+
+// The faults in force. The JSON member of each is its name; durations are in milliseconds with the suffix
+// `_ms`.
+struct platform_faults {
+    bool store_down = false;
+    bool control_down = false;
+    // Delay before a store call is carried out.
+    absl::Duration slow = absl::ZeroDuration();
+    // Reads return the data of the moment at which this was set.
+    bool old_data = false;
+    absl::Duration vm_list_lag = absl::ZeroDuration();
+    // Number of next writes (or reboots) that are carried out but get no response.
+    int lose_write_responses = 0;
+    int lose_reboot_responses = 0;
+};
+
+// Faults that can be changed while the stand-in runs.
+// Thread safety: all methods may be called from any thread.
+class platform_fault_settings {
+public:
+    platform_faults current() const;
+    // Changes the faults named in a JSON object and returns the faults in force.
+    tl::expected<platform_faults, std::string> change(const Json::Value& members);
+    // True if the response of this write or reboot is to be lost; counts it.
+    bool take_lost_write();
+    bool take_lost_reboot();
+
+private:
+    mutable absl::Mutex mutex_;
+    platform_faults faults_ ABSL_GUARDED_BY(mutex_);
+};
+
+// Calls and bytes by kind of call.
+// Thread safety: all methods may be called from any thread.
+class platform_counters {
+public:
+    void add_call(std::string_view kind, std::size_t bytes_received);
+    void add_bytes_sent(std::string_view kind, std::size_t bytes);
+    std::int64_t calls(std::string_view kind) const;
+    Json::Value to_json() const;
+
+private:
+    struct counts {
+        std::int64_t calls = 0;
+        std::int64_t bytes_received = 0;
+        std::int64_t bytes_sent = 0;
+    };
+
+    counts& of(std::string_view kind) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    mutable absl::Mutex mutex_;
+    std::map<std::string, counts, std::less<>> counts_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace masticpass::standin
+
+#endif
--- /dev/null
+++ b/tests/standin/platform_server.h
@@ -0,0 +1,71 @@
+#ifndef MASTICPASS_STANDIN_PLATFORM_SERVER_H
+#define MASTICPASS_STANDIN_PLATFORM_SERVER_H
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
+#include <json/json.h>
+#include <tl/expected.hpp>
+
+#include "standin/http_front.h"
+#include "standin/platform_faults.h"
+#include "standin/store_front.h"
+#include "standin/store_state.h"
+#include "standin/vm_fleet.h"
+#include "standin/vm_front.h"
+
+namespace masticpass::standin {
+
+struct platform_options {
+    // Port 0 selects a free port.
+    std::string listen_address = "127.0.0.1:0";
+    std::vector<listed_vm> vms = {};
+    absl::Duration reboot_time = absl::Milliseconds(50);
+    // Tell the backend server at a VM's address when the VM reboots.
+    bool notify_backends = false;
+    std::size_t maximum_connections = 32;
+};
+
+// The stand-in for the platform: store, VM list, VM control, and control of its faults.
+class platform_server {
+public:
+    static tl::expected<std::unique_ptr<platform_server>, std::string> create(
+        const platform_options& options);
+    ~platform_server();
+    platform_server(const platform_server&) = delete;
+    platform_server& operator=(const platform_server&) = delete;
+
+    const std::string& address() const { return address_; }
+    store_state& store() { return store_; }
+    vm_fleet& fleet() { return fleet_; }
+    const platform_counters& counters() const { return counters_; }
+
+    // As `POST /control/faults`. `compact` set to true discards the store's history of changes.
+    tl::expected<void, std::string> change_faults(Json::Value members);
+
+private:
+    explicit platform_server(const platform_options& options);
+
+    void add_control_routes(httplib::Server& server);
+    void expire_leases();
+
+    platform_fault_settings faults_;
+    platform_counters counters_;
+    store_state store_;
+    vm_fleet fleet_;
+    store_front store_front_;
+    vm_front vm_front_;
+    std::string address_;
+    absl::Notification stopping_;
+    std::thread lease_thread_;
+    // Last, so that no handler runs when the other members are destroyed.
+    http_front front_;
+};
+
+}  // namespace masticpass::standin
+
+#endif
--- /dev/null
+++ b/tests/standin/vm_front.h
@@ -0,0 +1,37 @@
+#ifndef MASTICPASS_STANDIN_VM_FRONT_H
+#define MASTICPASS_STANDIN_VM_FRONT_H
+
+#include <httplib.h>
+#include <json/json.h>
+
+#include "standin/platform_faults.h"
+#include "standin/vm_fleet.h"
+
+namespace masticpass::standin {
+
+// Serves the VM list, VM control and `POST /control/vm`, with the faults in force.
+// The arguments of the constructor must outlive the object, which must outlive the server.
+class vm_front {
+public:
+    vm_front(vm_fleet& fleet, platform_fault_settings& faults, platform_counters& counters);
+
+    void add_routes(httplib::Server& server);
+
+private:
+    void list(const httplib::Request& request, httplib::Response& response);
+    void reboot(const httplib::Request& request, httplib::Response& response);
+    // Body: {vm, state} with a state of the VM list, or {vm, crash: true}.
+    void set_vm(const httplib::Request& request, httplib::Response& response);
+
+    vm_fleet& fleet_;
+    platform_fault_settings& faults_;
+    platform_counters& counters_;
+};
+
+Json::Value to_json(const listed_vm& vm);
+// Reads one VM of the list; a VM without a state is live.
+tl::expected<listed_vm, std::string> parse_vm(const Json::Value& value);
+
+}  // namespace masticpass::standin
+
+#endif
