--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -3,8 +3,9 @@
 
 #include "standin/backend_standin.h"
 #include "standin/caller_standin.h"
+#include "standin/platform_standin.h"
 
-// Usage: masticpass_standin backend|caller OPTIONS
+// Usage: masticpass_standin backend|caller|platform OPTIONS
 int main(int argument_count, char** arguments) {
     const std::string_view kind = argument_count >= 2 ? arguments[1] : "";
     if (kind == "backend") {
@@ -13,6 +14,9 @@
     if (kind == "caller") {
         return masticpass::standin::run_caller_standin(argument_count - 1, arguments + 1);
     }
-    std::fputs("usage: masticpass_standin backend|caller OPTIONS\n", stderr);
+    if (kind == "platform") {
+        return masticpass::standin::run_platform_standin(argument_count - 1, arguments + 1);
+    }
+    std::fputs("usage: masticpass_standin backend|caller|platform OPTIONS\n", stderr);
     return 2;
 }
