--- /dev/null
+++ b/tests/decision/maintenance/fleet_schedule.h
@@ -0,0 +1,127 @@
+#ifndef MASTICPASS_TESTS_DECISION_MAINTENANCE_FLEET_SCHEDULE_H
+#define MASTICPASS_TESTS_DECISION_MAINTENANCE_FLEET_SCHEDULE_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decision/maintenance/next_step.h"
+
+namespace masticpass {
+
+// A guard that a schedule leaves out of its stand-ins or of the views it hands to the decision code, to show
+// that the invariants notice.
+enum class removed_guard {
+    none,
+    store_comparison,    // the store writes without comparing the revision
+    reboot_condition,    // the platform reboots without comparing the boot identity
+    observed_failures,   // agents do not see VMs that are down
+    drain_operation,     // acknowledgements count for any operation on the VM
+    list_order,          // every VM list claims to be the newest
+    departure_evidence,  // a source that does not list the VM seems to have handed it over
+};
+
+// One random schedule over the real decision code: a store, a platform and several entry VMs that fail at
+// random. The invariants are checked at every write, every reboot and at the end.
+class fleet_schedule {
+public:
+    fleet_schedule(std::uint64_t seed, removed_guard guard);
+
+    // Runs to the end or to the first violation, which it returns; empty if there is none.
+    std::string run();
+
+    int writes() const { return writes_; }
+    int reboots() const { return reboots_; }
+    int moves() const { return moves_; }
+
+private:
+    enum class power { up, down, terminated };
+    struct true_vm {
+        zone_name zone;
+        rack_name rack;
+        pool_name role;
+        int boot = 1;
+        power state = power::up;
+        std::int64_t down_since = 0;
+        // -1: never comes back.
+        std::int64_t returns_at = 0;
+        bool keeps_boot = false;
+        bool leaving = false;
+    };
+    struct pending_action {
+        maintenance_action action;
+        std::set<vm_id> down_when_decided;
+    };
+    struct entry_vm {
+        incarnation_id incarnation;
+        zone_name zone;
+        std::int64_t sequence = 1;
+        std::int64_t paused_until = 0;
+        std::map<pool_name, stored_pool_record> known;
+        std::map<vm_id, int> in_flight;
+        std::deque<pending_action> pending;
+    };
+    using record_map = std::map<pool_name, stored_pool_record>;
+    using list_map = std::map<vm_id, vm_observation>;
+
+    int pick(int count) { return static_cast<int>(random_() % static_cast<std::uint64_t>(count)); }
+    bool chance(int percent) { return pick(100) < percent; }
+    void create_fleet();
+    void random_step();
+    bool recover_all();
+    void change_operations();
+    void fail_something();
+    void replace_entry(entry_vm& entry);
+    void replace_terminated(const vm_id& id, true_vm& vm);
+    void advance();
+    void list_vms();
+    void serve(entry_vm& entry);
+    void acknowledge(entry_vm& entry);
+    void decide(entry_vm& entry, const pool_name& pool, int lag);
+    void execute(entry_vm& entry);
+    maintenance_view view_of(const entry_vm& entry, int lag);
+    void forge_departures(maintenance_view& view) const;
+    void write(const write_record& action, const std::set<vm_id>& down);
+    void reboot(const reboot_vm& action);
+    void check_write(const pool_record& before, const pool_record& after, const std::set<vm_id>& down);
+    void check_owners();
+    void check_counts(const pool_record& record, const std::set<vm_id>& unavailable, int missing,
+                      const std::string& event);
+    void violate(const std::string& text);
+    bool waves_ended() const;
+    std::string wave_state_text() const;
+
+    std::mt19937_64 random_;
+    removed_guard guard_;
+    std::int64_t step_ = 1;
+    absl::Time now_ = absl::FromUnixSeconds(1'700'000'000);
+    std::map<vm_id, true_vm> vms_;
+    std::vector<std::shared_ptr<const list_map>> lists_;
+    std::vector<std::shared_ptr<const record_map>> stores_;
+    bool list_changed_ = true;
+    bool store_down_ = false;
+    std::int64_t revision_ = 10;
+    std::map<pool_name, pool_limits> limits_;
+    std::vector<declared_wave> waves_;
+    std::vector<move_request> requests_;
+    std::vector<entry_vm> entries_;
+    std::set<incarnation_id> gone_;
+    std::map<zone_name, std::set<incarnation_id>> senders_;
+    std::map<std::pair<vm_id, operation_id>, std::set<incarnation_id>> acknowledged_;
+    std::map<vm_id, std::set<incarnation_id>> acknowledged_ever_;
+    std::string violation_;
+    int incarnations_ = 0;
+    int replacements_ = 0;
+    int writes_ = 0;
+    int reboots_ = 0;
+    int moves_ = 0;
+};
+
+}  // namespace masticpass
+
+#endif
