--- a/source/decision/maintenance/pool_step.cpp
+++ b/source/decision/maintenance/pool_step.cpp
@@ -186,7 +186,7 @@
         if (std::find(wave.pools.begin(), wave.pools.end(), pool_) == wave.pools.end()) {
             continue;
         }
-        if (wave.state == wave_state::running) {
+        if (wave.state == wave_state::running && !record_.waves.contains(wave.name)) {
             record_ = start_wave(record_, wave.name, view_.now);
         }
         if (can_end_wave(record_, wave, view_.now)) {
