--- /dev/null
+++ b/measure/serving_measure.cpp
@@ -0,0 +1,32 @@
+#include <cstdint>
+#include <string>
+
+#include <CLI/CLI.hpp>
+
+#include "support/scheduling_part.h"
+
+// Measures the serving decisions in a discrete-event run. All figures but those of the cost part depend on
+// the seed alone.
+int main(int argc, char** argv) {
+    CLI::App application("Measures the serving decisions");
+    std::uint64_t seed = 1;
+    std::string part = "all";
+    double bound_step = 0.25;
+    application.add_option("--seed", seed, "Seed of the traces");
+    application.add_option("--part", part, "Part to run")
+        ->check(CLI::IsMember({"all", "wait", "worth", "retry", "once", "cost"}));
+    application.add_option("--bound-step", bound_step, "Step of the upper bound on worth in seconds");
+    CLI11_PARSE(application, argc, argv);
+
+    const auto wanted = [&](const std::string& name) { return part == "all" || part == name; };
+    if (wanted("wait")) {
+        masticpass::measure::measure_short_wait(seed);
+    }
+    if (wanted("worth")) {
+        masticpass::measure::measure_worth(seed, bound_step);
+    }
+    if (wanted("retry")) {
+        masticpass::measure::measure_retries(seed);
+    }
+    return 0;
+}
--- /dev/null
+++ b/measure/support/scheduling_part.cpp
@@ -0,0 +1,149 @@
+#include "support/scheduling_part.h"
+
+#include <string>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include "support/serving_policy.h"
+#include "support/serving_simulation.h"
+#include "support/serving_trace.h"
+#include "support/table.h"
+#include "support/worth_bound.h"
+
+namespace masticpass::measure {
+namespace {
+
+constexpr int services = 5;
+
+std::string text(double value) {
+    return absl::StrFormat("%.4f", value);
+}
+std::string percent(double share) {
+    return absl::StrFormat("%.2f%%", 100.0 * share);
+}
+
+simulation_result run_simple(const serving_trace& trace, queue_order order) {
+    const auto policy = make_simple_policy(trace, order);
+    return simulate(trace, *policy);
+}
+
+simulation_result run_scheduler(const serving_trace& trace, const scheduler_policy_options& options) {
+    const auto policy = make_scheduler_policy(trace, options);
+    return simulate(trace, *policy);
+}
+
+scheduler_policy_options large_queue() {
+    scheduler_policy_options options;
+    options.scheduler.largest_items = 100'000;
+    options.scheduler.largest_bytes = std::size_t{1} << 30U;
+    return options;
+}
+
+// One trace per service; each service has its burst after the one before.
+std::vector<serving_trace> make_service_traces(std::uint64_t seed, trace_options options) {
+    std::vector<serving_trace> traces;
+    for (int service = 0; service < services; ++service) {
+        options.seed = seed * 1000 + static_cast<std::uint64_t>(service);
+        options.burst_start = options.burst_length * service;
+        traces.push_back(make_trace(options));
+    }
+    return traces;
+}
+
+}  // namespace
+
+void measure_short_wait(std::uint64_t seed) {
+    table rows({"servers", "load", "policy", "p50 s", "p99 s", "p99.9 s", "short jobs", "jobs done",
+                "work done s", "p99 ratio", "work lost"});
+    for (const int servers : {1, 3, 10}) {
+        for (const double load : {0.8, 0.95, 1.1}) {
+            trace_options options{.seed = seed,
+                                  .servers = servers,
+                                  .horizon = 600.0,
+                                  .burst_load = load,
+                                  .burst_length = 600.0,
+                                  .burst_period = 600.0,
+                                  .short_share = 0.2};
+            // Deadlines do not matter here: the table is about waiting, not about refusals.
+            options.slack = 1000.0;
+            const serving_trace trace = make_trace(options);
+            const auto first_come = run_simple(trace, queue_order::first_come);
+            const auto scheduled = run_scheduler(trace, large_queue());
+            const double base = percentile(first_come.short_waits, 0.99);
+            const auto add = [&](const std::string& name, const simulation_result& result) {
+                const double p99 = percentile(result.short_waits, 0.99);
+                rows.add({absl::StrCat(servers), absl::StrCat(load), name,
+                          text(percentile(result.short_waits, 0.5)), text(p99),
+                          text(percentile(result.short_waits, 0.999)), absl::StrCat(result.short_jobs),
+                          absl::StrCat(result.jobs_completed), absl::StrFormat("%.0f", result.work_completed),
+                          absl::StrFormat("%.1f", p99 > 0 ? base / p99 : 0.0),
+                          percent(1.0 - result.work_completed / first_come.work_completed)});
+            };
+            add("first come", first_come);
+            add("scheduler", scheduled);
+        }
+    }
+    rows.print(absl::StrCat("Wait of short work behind long work, seed ", seed));
+}
+
+void measure_worth(std::uint64_t seed, double bound_step) {
+    table rows(
+        {"burst load", "faults", "spread", "jobs", "bound", "first come", "deadline only", "scheduler"});
+    for (const bool faults : {false, true}) {
+        for (const double spread : {0.1, 0.3}) {
+            for (const double load : {1.0, 2.0, 5.0}) {
+                const auto traces =
+                    make_service_traces(seed, {.burst_load = load, .spread = spread, .faults = faults});
+                double bound = 0.0;
+                double first_come = 0.0;
+                double deadline = 0.0;
+                double scheduled = 0.0;
+                std::size_t jobs = 0;
+                for (const serving_trace& trace : traces) {
+                    jobs += trace.jobs.size();
+                    bound += worth_upper_bound(trace, bound_step);
+                    first_come += run_simple(trace, queue_order::first_come).worth_on_time;
+                    deadline += run_simple(trace, queue_order::deadline).worth_on_time;
+                    scheduled += run_scheduler(trace, {}).worth_on_time;
+                }
+                rows.add({absl::StrCat(load), faults ? "yes" : "no", absl::StrCat(spread), absl::StrCat(jobs),
+                          absl::StrFormat("%.0f", bound), percent(first_come / bound),
+                          percent(deadline / bound), percent(scheduled / bound)});
+            }
+        }
+    }
+    rows.print(absl::StrCat("Worth of work done on time as a share of the upper bound, seed ", seed));
+}
+
+void measure_retries(std::uint64_t seed) {
+    table rows({"policy", "jobs", "attempts", "retries", "retries per job", "on time"});
+    const auto traces = make_service_traces(seed, {.burst_load = 1.0, .faults = true});
+    const auto add = [&](const std::string& name, const scheduler_policy_options& options) {
+        simulation_result sum;
+        std::size_t jobs = 0;
+        for (const serving_trace& trace : traces) {
+            const auto result = run_scheduler(trace, options);
+            jobs += trace.jobs.size();
+            sum.attempts += result.attempts;
+            sum.retries += result.retries;
+            sum.on_time += result.on_time;
+        }
+        rows.add({name, absl::StrCat(jobs), absl::StrCat(sum.attempts), absl::StrCat(sum.retries),
+                  text(static_cast<double>(sum.retries) / static_cast<double>(jobs)),
+                  absl::StrCat(sum.on_time)});
+    };
+    scheduler_policy_options unlimited;
+    unlimited.scheduler.retry_percent = 1'000'000;
+    unlimited.scheduler.retry_burst = 1'000'000;
+    add("budget, ejection", {});
+    add("budget, no ejection", {.scheduler = {}, .ejection = false});
+    add("unlimited, ejection", unlimited);
+    unlimited.ejection = false;
+    add("unlimited, no ejection", unlimited);
+    rows.print(
+        absl::StrCat("Retries while a fifth of the servers fail for a third of the time, seed ", seed));
+}
+
+}  // namespace masticpass::measure
--- a/measure/support/serving_policy.cpp
+++ b/measure/support/serving_policy.cpp
@@ -17,7 +17,9 @@
 constexpr double never = std::numeric_limits<double>::infinity();
 constexpr double wake_up_step = 0.25;
 
-absl::Time at(double seconds) { return absl::UnixEpoch() + absl::Seconds(seconds); }
+absl::Time at(double seconds) {
+    return absl::UnixEpoch() + absl::Seconds(seconds);
+}
 
 class simple_policy final : public serving_policy {
 public:
@@ -25,8 +27,8 @@
         : trace_(trace), order_(order), free_(static_cast<std::size_t>(trace.servers), 8) {}
 
     void arrived(std::size_t job, double /*now*/) override {
-        waiting_.insert({order_ == queue_order::deadline ? trace_.jobs[job].deadline : trace_.jobs[job].arrival,
-                         job});
+        waiting_.insert(
+            {order_ == queue_order::deadline ? trace_.jobs[job].deadline : trace_.jobs[job].arrival, job});
     }
 
     std::optional<policy_choice> next(double now) override {
--- a/measure/support/serving_simulation.h
+++ b/measure/support/serving_simulation.h
@@ -23,8 +23,8 @@
     std::int64_t short_jobs = 0;
 };
 
-// Runs the trace through the policy on servers with 8 slots each. A failing server fails an attempt after 20 ms:
-// half of them as not run, the other half as a lost connection.
+// Runs the trace through the policy on servers with 8 slots each. A failing server fails an attempt after 20
+// ms: half of them as not run, the other half as a lost connection.
 simulation_result simulate(const serving_trace& trace, serving_policy& policy);
 
 }  // namespace masticpass::measure
--- a/measure/support/serving_trace.cpp
+++ b/measure/support/serving_trace.cpp
@@ -52,7 +52,8 @@
     return phase < options.burst_length;
 }
 
-traced_job make_job(const trace_options& options, const kind_profile& kind, double arrival, generator& random) {
+traced_job make_job(const trace_options& options, const kind_profile& kind, double arrival,
+                    generator& random) {
     const double spread = options.spread;
     traced_job job{.arrival = arrival, .kind = kind.name, .short_kind = kind.is_short};
     // The mean of the logarithm keeps the mean of the run time at the mean of the kind.
@@ -93,11 +94,11 @@
         if (!boost::random::bernoulli_distribution<double>(kept)(random)) {
             continue;
         }
-        const bool is_short = boost::random::bernoulli_distribution<double>(
-            short_rate / (short_rate + long_rate))(random);
-        const int index = is_short ? boost::random::uniform_int_distribution<>(0, short_kinds - 1)(random)
-                                   : short_kinds + boost::random::uniform_int_distribution<>(
-                                                       0, long_kinds - 1)(random);
+        const bool is_short =
+            boost::random::bernoulli_distribution<double>(short_rate / (short_rate + long_rate))(random);
+        const int index =
+            is_short ? boost::random::uniform_int_distribution<>(0, short_kinds - 1)(random)
+                     : short_kinds + boost::random::uniform_int_distribution<>(0, long_kinds - 1)(random);
         trace.jobs.push_back(make_job(options, kinds[static_cast<std::size_t>(index)], time, random));
     }
     if (options.faults) {
--- a/measure/support/serving_trace.h
+++ b/measure/support/serving_trace.h
@@ -39,7 +39,8 @@
     std::uint64_t seed = 1;
     int servers = 10;
     double horizon = 100.0;
-    // Load in a burst as a multiple of the capacity, and the load between bursts as a share of that in a burst.
+    // Load in a burst as a multiple of the capacity, and the load between bursts as a share of that in a
+    // burst.
     double burst_load = 1.0;
     double idle_share = 0.01;
     double burst_start = 0.0;
@@ -56,8 +57,8 @@
     bool faults = false;
 };
 
-// Jobs of one service in the order of arrival. Half of the declared run times are off by a factor of up to 10 in
-// either direction.
+// Jobs of one service in the order of arrival. Half of the declared run times are off by a factor of up to 10
+// in either direction.
 serving_trace make_trace(const trace_options& options);
 
 }  // namespace masticpass::measure
--- /dev/null
+++ b/measure/support/table.h
@@ -0,0 +1,25 @@
+#ifndef MASTICPASS_MEASURE_SUPPORT_TABLE_H
+#define MASTICPASS_MEASURE_SUPPORT_TABLE_H
+
+#include <string>
+#include <vector>
+
+namespace masticpass::measure {
+
+// A plain text table with right-aligned columns.
+class table {
+public:
+    explicit table(std::vector<std::string> header);
+    void add(std::vector<std::string> row);
+    void print(const std::string& title) const;
+
+private:
+    std::vector<std::vector<std::string>> rows_;
+};
+
+// The value at the share of the sorted values; 0 for none.
+double percentile(std::vector<double> values, double share);
+
+}  // namespace masticpass::measure
+
+#endif
--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -234,7 +234,7 @@
     return share_.long_may_start(long_running_, slots, now) ? long_first : nullptr;
 }
 
-dispatch service_scheduler::start(const request_id& id, const vm_id& instance, absl::Time now) {
+dispatch service_scheduler::start(request_id id, const vm_id& instance, absl::Time now) {
     running_request started{.request = queue_.take(id),
                             .instance = instance,
                             .started = now,
@@ -257,7 +257,7 @@
                     .attempt = started.request.attempts,
                     .size = started.counted_as,
                     .suspect_after = estimator_.suspicion_after(description.kind, description.declared)};
-    running_.emplace(id, std::move(started));
+    running_.emplace(std::move(id), std::move(started));
     return result;
 }
 
--- a/source/decision/serving/service_scheduler.h
+++ b/source/decision/serving/service_scheduler.h
@@ -90,7 +90,7 @@
     // The first request of the class that can still meet its deadline.
     const queued_request* first_viable(size_class size, absl::Time now);
     const queued_request* choose_request(absl::Time now);
-    dispatch start(const request_id& id, const vm_id& instance, absl::Time now);
+    dispatch start(request_id id, const vm_id& instance, absl::Time now);
     void learn(const running_request& ended, const attempt_result& result, absl::Time now);
     absl::Duration retry_after() const;
 
