--- /dev/null
+++ b/source/operations/fleet_calls.cpp
@@ -0,0 +1,106 @@
+#include "operations/fleet_calls.h"
+
+#include <utility>
+
+#include <jsonrpccpp/common/exception.h>
+
+#include "operations/view_json.h"
+#include "operations/wave_change.h"
+
+namespace masticpass {
+
+namespace {
+
+[[noreturn]] void throw_error(const operations_error& error) {
+    throw jsonrpc::JsonRpcException(static_cast<int>(error.code), error.message, error_data_to_json(error));
+}
+
+[[noreturn]] void throw_invalid(std::string message, configuration_problems problems = {}) {
+    throw_error({.code = operations_error_code::invalid,
+                 .message = std::move(message),
+                 .problems = std::move(problems)});
+}
+
+template <typename T>
+T value_or_throw(operations_result<T> result) {
+    if (!result) {
+        throw_error(result.error());
+    }
+    return *std::move(result);
+}
+
+template <typename Identifier>
+Identifier checked_name(const std::string& text, const char* parameter) {
+    if (!is_configuration_name(text)) {
+        throw_invalid(std::string(parameter) +
+                      " is no name: expected 1 to 63 letters, digits, '-', '_' or '.'");
+    }
+    return Identifier(text);
+}
+
+void check_author(const std::string& author) {
+    if (author.empty()) {
+        throw_invalid("author is empty; expected the name of the operator");
+    }
+}
+
+}  // namespace
+
+Json::Value fleet_calls::status() {
+    return to_json(service_.status());
+}
+
+Json::Value fleet_calls::show_configuration() {
+    return to_json(value_or_throw(service_.show_configuration()));
+}
+
+Json::Value fleet_calls::propose_change(const Json::Value& change) {
+    auto parsed = configuration_change_from_json(change);
+    if (!parsed) {
+        throw_invalid("the change is not well-formed", std::move(parsed.error()));
+    }
+    return to_json(value_or_throw(service_.propose_change(*parsed)));
+}
+
+Json::Value fleet_calls::show_pool(const std::string& pool) {
+    return to_json(value_or_throw(service_.show_pool(checked_name<pool_name>(pool, "pool"))));
+}
+
+Json::Value fleet_calls::list_entries() {
+    Json::Value entries(Json::arrayValue);
+    for (const entry_view& entry : service_.list_entries()) {
+        entries.append(to_json(entry));
+    }
+    return entries;
+}
+
+Json::Value fleet_calls::show_wave(const std::string& wave) {
+    return to_json(value_or_throw(service_.show_wave(checked_name<wave_name>(wave, "wave"))));
+}
+
+Json::Value fleet_calls::set_wave_state(const std::string& author, const std::string& change,
+                                        const std::string& state, const std::string& wave) {
+    const auto name = checked_name<wave_name>(wave, "wave");
+    const auto id = checked_name<change_id>(change, "change");
+    check_author(author);
+    const auto wanted = parse_wave_state(state);
+    if (!wanted) {
+        throw_invalid("state is '" + state + "'; expected running, paused or cancelled");
+    }
+    const configuration_view view = value_or_throw(service_.show_configuration());
+    const auto proposed = value_or_throw(make_wave_change(view, name, *wanted, author, id));
+    if (!proposed) {
+        return to_json(change_result{.revision = view.revision, .is_repeated = true});
+    }
+    return to_json(value_or_throw(service_.propose_change(*proposed)));
+}
+
+Json::Value fleet_calls::drain_vm(const std::string& author, const std::string& operation,
+                                  const std::string& vm) {
+    const auto id = checked_name<operation_id>(operation, "operation");
+    const auto name = checked_name<vm_id>(vm, "vm");
+    check_author(author);
+    return to_json(value_or_throw(service_.drain_vm(name, author, id)));
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/operations/operations_server.h
@@ -0,0 +1,50 @@
+#ifndef MASTICPASS_OPERATIONS_OPERATIONS_SERVER_H
+#define MASTICPASS_OPERATIONS_OPERATIONS_SERVER_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "http/server.h"
+#include "operations/fleet_service.h"
+
+namespace masticpass {
+
+class fleet_calls;
+class http_connector;
+
+// Serves `POST /rpc`, JSON-RPC 2.0 as described by schema/operations.json.
+// Ownership: owns its HTTP server; borrows the service, which must outlive it.
+// Thread safety: `create`, `start` and `stop` on one thread.
+class operations_server {
+public:
+    // Binds ip:port; port 0 takes any free port. The error says why the address cannot be used.
+    static tl::expected<std::unique_ptr<operations_server>, std::string> create(const std::string& ip,
+                                                                                std::uint16_t port,
+                                                                                fleet_service& service);
+
+    operations_server(const operations_server&) = delete;
+    operations_server& operator=(const operations_server&) = delete;
+    ~operations_server();
+
+    std::uint16_t port() const { return server_->port(); }
+
+    // Starts to answer. Call once.
+    void start();
+
+    // Returns when the calls that run have their responses. Idempotent.
+    void stop();
+
+private:
+    operations_server(std::unique_ptr<http_server> server, fleet_service& service);
+
+    std::unique_ptr<http_server> server_;
+    std::unique_ptr<http_connector> connector_;
+    std::unique_ptr<fleet_calls> calls_;
+};
+
+}  // namespace masticpass
+
+#endif
