--- a/source/decision/placement/pool_assessment.cpp
+++ b/source/decision/placement/pool_assessment.cpp
@@ -84,7 +84,7 @@
             break;
         }
         capacity.add(*vm, -1);
-        if (deficit_of(pool, policy, capacity, factor).sum() > 0) {
+        if (deficit_of(pool, policy, capacity, factor).sum_vms > 0) {
             break;
         }
         std::erase(candidates, vm);
@@ -95,22 +95,25 @@
 
 }  // namespace
 
-int pool_deficit::largest() const {
-    return std::max({demand_vms, rack_loss_vms, zone_loss_vms});
-}
-
 pool_deficit deficit_of(const placement_pool& pool, const placement_policy& policy,
                         const domain_counts& capacity, double demand_factor) {
     const double slots = pool.sustained_slots * demand_factor;
     const int needed = std::max(pool.minimum_vms, vms_for(slots * policy.headroom, pool.slots_per_vm));
     const int after_loss = vms_for(slots * policy.headroom_after_loss, pool.slots_per_vm);
     pool_deficit deficit;
-    deficit.demand_vms = std::max(0, needed - capacity.total());
+    const auto require = [&](int vms) {
+        deficit.largest_vms = std::max(deficit.largest_vms, vms);
+        deficit.sum_vms += std::max(0, vms);
+    };
+    const auto require_after_loss = [&](int lost) { require(after_loss - (capacity.total() - lost)); };
+    require(needed - capacity.total());
     if (pool.survive_rack) {
-        deficit.rack_loss_vms = std::max(0, after_loss - (capacity.total() - capacity.largest_rack()));
+        require_after_loss(0);
+        capacity.for_each_rack(require_after_loss);
     }
     if (pool.survive_zone) {
-        deficit.zone_loss_vms = std::max(0, after_loss - (capacity.total() - capacity.largest_zone()));
+        require_after_loss(0);
+        capacity.for_each_zone(require_after_loss);
     }
     return deficit;
 }
@@ -132,7 +135,7 @@
     const auto capacity = capacity_of(pool);
     pool_assessment result;
     result.target_vms = target_of(pool, policy);
-    result.shortage_vms = deficit_of(pool, policy, capacity).largest();
+    result.shortage_vms = deficit_of(pool, policy, capacity).largest_vms;
     if (pool.spare) {
         result.buffer_shortage_vms = std::max(0, result.target_vms - capacity.total());
     }
--- a/source/decision/placement/pool_assessment.h
+++ b/source/decision/placement/pool_assessment.h
@@ -72,16 +72,14 @@
 // Starts, keeps or clears the clocks. Calling it again with an unchanged assessment changes nothing.
 void update_clocks(pool_clocks& clocks, const pool_assessment& assessment, absl::Time now);
 
-// VMs that a pool misses, counted apart for each requirement, each at least 0.
+// VMs that a pool misses, each figure at least 0.
 struct pool_deficit {
-    int demand_vms = 0;
-    int rack_loss_vms = 0;
-    int zone_loss_vms = 0;
-
-    // VMs that end the shortage if all of them are in domains other than the largest.
-    int largest() const;
-    // Falls whenever a VM helps with any requirement.
-    int sum() const { return demand_vms + rack_loss_vms + zone_loss_vms; }
+    // The most that any requirement misses. That many VMs end the shortage if they are in other domains than
+    // the largest.
+    int largest_vms = 0;
+    // Sum over the demand and over the loss of each single domain. It falls whenever a VM helps, also when
+    // two domains are equally large and the largest figure only falls with a second VM.
+    int sum_vms = 0;
 };
 
 // What the pool misses with the VMs in `capacity` for its sustained demand times `demand_factor`.
--- a/source/decision/placement/pool_spread.cpp
+++ b/source/decision/placement/pool_spread.cpp
@@ -15,15 +15,6 @@
     }
 }
 
-template <typename Counts>
-int largest_count(const Counts& counts) {
-    int largest = 0;
-    for (const auto& [key, count] : counts) {
-        largest = std::max(largest, count);
-    }
-    return largest;
-}
-
 }  // namespace
 
 void domain_counts::add(const placement_vm& vm, int change) {
@@ -42,12 +33,16 @@
     return found == racks_.end() ? 0 : found->second;
 }
 
-int domain_counts::largest_zone() const {
-    return largest_count(zones_);
+void domain_counts::for_each_zone(absl::FunctionRef<void(int)> visit) const {
+    for (const auto& [zone, count] : zones_) {
+        visit(count);
+    }
 }
 
-int domain_counts::largest_rack() const {
-    return largest_count(racks_);
+void domain_counts::for_each_rack(absl::FunctionRef<void(int)> visit) const {
+    for (const auto& [rack, count] : racks_) {
+        visit(count);
+    }
 }
 
 domain_counts capacity_of(const placement_pool& pool) {
--- a/source/decision/placement/pool_spread.h
+++ b/source/decision/placement/pool_spread.h
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include "common/identifier.h"
 #include "decision/placement/placement_input.h"
@@ -19,8 +20,9 @@
     int total() const { return total_; }
     int in_zone(const zone_name& zone) const;
     int in_rack(const zone_name& zone, const rack_name& rack) const;
-    int largest_zone() const;
-    int largest_rack() const;
+    // Calls `visit` with the number of VMs in each zone, or each rack, that has any.
+    void for_each_zone(absl::FunctionRef<void(int)> visit) const;
+    void for_each_rack(absl::FunctionRef<void(int)> visit) const;
     // Zones and racks that have at least one VM.
     int zones() const { return static_cast<int>(zones_.size()); }
     int racks() const { return static_cast<int>(racks_.size()); }
