--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -74,7 +74,7 @@
 }
 
 bool move_round::is_short(const participant& receiver) const {
-    return deficit_of(receiver.pool->input, policy_, receiver.capacity).sum_vms > 0;
+    return shortage_of(receiver.pool->input, policy_, receiver.capacity) > 0;
 }
 
 bool move_round::can_give(const participant& donor, const placement_vm& vm) const {
@@ -87,7 +87,7 @@
     }
     auto remaining = donor.capacity;
     remaining.add(vm, -1);
-    return deficit_of(pool, policy_, remaining, pool.spare ? 1.0 : 1 + policy_.shrink_band).sum_vms == 0;
+    return shortage_of(pool, policy_, remaining, pool.spare ? 1.0 : 1 + policy_.shrink_band) == 0;
 }
 
 bool move_round::accepts(const participant& receiver, const placement_vm& vm, move_cause cause) const {
@@ -98,10 +98,7 @@
     if (cause == move_cause::buffer_refill) {
         return true;
     }
-    auto increased = receiver.capacity;
-    increased.add(vm, 1);
-    return deficit_of(pool, policy_, increased).sum_vms <
-           deficit_of(pool, policy_, receiver.capacity).sum_vms;
+    return vm_helps(pool, policy_, receiver.capacity, vm);
 }
 
 std::size_t move_round::best_vm(const participant& donor, const participant& receiver,
--- a/source/decision/placement/pool_assessment.cpp
+++ b/source/decision/placement/pool_assessment.cpp
@@ -17,6 +17,18 @@
     return static_cast<int>(std::ceil(slots / std::max(slots_per_vm, 1) - rounding_tolerance));
 }
 
+// VMs that a pool needs in normal operation and after a declared loss.
+struct pool_need {
+    int normally = 0;
+    int after_loss = 0;
+};
+
+pool_need need_of(const placement_pool& pool, const placement_policy& policy, double demand_factor) {
+    const double slots = pool.sustained_slots * demand_factor;
+    return {std::max(pool.minimum_vms, vms_for(slots * policy.headroom, pool.slots_per_vm)),
+            vms_for(slots * policy.headroom_after_loss, pool.slots_per_vm)};
+}
+
 int zones_of(const placement_pool& pool) {
     if (!pool.zones.empty()) {
         return static_cast<int>(pool.zones.size());
@@ -29,16 +41,15 @@
 }
 
 int target_of(const placement_pool& pool, const placement_policy& policy) {
-    const int after_loss = vms_for(pool.sustained_slots * policy.headroom_after_loss, pool.slots_per_vm);
-    int target =
-        std::max(pool.minimum_vms, vms_for(pool.sustained_slots * policy.headroom, pool.slots_per_vm));
-    if (pool.survive_rack && after_loss > 0) {
-        target = std::max(target, after_loss + 1);
+    const auto need = need_of(pool, policy, 1.0);
+    int target = need.normally;
+    if (pool.survive_rack && need.after_loss > 0) {
+        target = std::max(target, need.after_loss + 1);
     }
     const int zones = zones_of(pool);
     // With one zone no size survives its loss.
     if (pool.survive_zone && zones > 1) {
-        while (target - (target + zones - 1) / zones < after_loss) {
+        while (target - (target + zones - 1) / zones < need.after_loss) {
             ++target;
         }
     }
@@ -62,10 +73,7 @@
 
 int surplus_of(const placement_pool& pool, const placement_policy& policy, domain_counts capacity) {
     const double factor = 1 + policy.shrink_band;
-    const int above_demand =
-        capacity.total() -
-        std::max(vms_for(pool.sustained_slots * factor * policy.headroom, pool.slots_per_vm),
-                 pool.minimum_vms);
+    const int above_demand = capacity.total() - need_of(pool, policy, factor).normally;
     const int above_minimum = settled_size(pool) - pool.minimum_vms;
     const int limit = std::min(above_demand, above_minimum);
     if (pool.spare || limit <= 0) {
@@ -84,7 +92,7 @@
             break;
         }
         capacity.add(*vm, -1);
-        if (deficit_of(pool, policy, capacity, factor).sum_vms > 0) {
+        if (shortage_of(pool, policy, capacity, factor) > 0) {
             break;
         }
         std::erase(candidates, vm);
@@ -95,27 +103,26 @@
 
 }  // namespace
 
-pool_deficit deficit_of(const placement_pool& pool, const placement_policy& policy,
-                        const domain_counts& capacity, double demand_factor) {
-    const double slots = pool.sustained_slots * demand_factor;
-    const int needed = std::max(pool.minimum_vms, vms_for(slots * policy.headroom, pool.slots_per_vm));
-    const int after_loss = vms_for(slots * policy.headroom_after_loss, pool.slots_per_vm);
-    pool_deficit deficit;
-    const auto require = [&](int vms) {
-        deficit.largest_vms = std::max(deficit.largest_vms, vms);
-        deficit.sum_vms += std::max(0, vms);
-    };
-    const auto require_after_loss = [&](int lost) { require(after_loss - (capacity.total() - lost)); };
-    require(needed - capacity.total());
+int shortage_of(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
+                double demand_factor) {
+    const auto need = need_of(pool, policy, demand_factor);
+    int shortage = std::max(0, need.normally - capacity.total());
     if (pool.survive_rack) {
-        require_after_loss(0);
-        capacity.for_each_rack(require_after_loss);
+        shortage = std::max(shortage, need.after_loss - (capacity.total() - capacity.largest_rack()));
     }
     if (pool.survive_zone) {
-        require_after_loss(0);
-        capacity.for_each_zone(require_after_loss);
+        shortage = std::max(shortage, need.after_loss - (capacity.total() - capacity.largest_zone()));
     }
-    return deficit;
+    return shortage;
+}
+
+bool vm_helps(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
+              const placement_vm& vm) {
+    const auto need = need_of(pool, policy, 1.0);
+    const auto loss_is_short = [&](int lost) { return need.after_loss > capacity.total() - lost; };
+    return need.normally > capacity.total() ||
+           (pool.survive_rack && loss_is_short(capacity.largest_rack_except(vm))) ||
+           (pool.survive_zone && loss_is_short(capacity.largest_zone_except(vm)));
 }
 
 demand_split split_demand(const placement_pool& pool, double current_slots) {
@@ -135,7 +142,7 @@
     const auto capacity = capacity_of(pool);
     pool_assessment result;
     result.target_vms = target_of(pool, policy);
-    result.shortage_vms = deficit_of(pool, policy, capacity).largest_vms;
+    result.shortage_vms = shortage_of(pool, policy, capacity);
     if (pool.spare) {
         result.buffer_shortage_vms = std::max(0, result.target_vms - capacity.total());
     }
--- a/source/decision/placement/pool_assessment.h
+++ b/source/decision/placement/pool_assessment.h
@@ -72,19 +72,17 @@
 // Starts, keeps or clears the clocks. Calling it again with an unchanged assessment changes nothing.
 void update_clocks(pool_clocks& clocks, const pool_assessment& assessment, absl::Time now);
 
-// VMs that a pool misses, each figure at least 0.
-struct pool_deficit {
-    // The most that any requirement misses. That many VMs end the shortage if they are in other domains than
-    // the largest.
-    int largest_vms = 0;
-    // Sum over the demand and over the loss of each single domain. It falls whenever a VM helps, also when
-    // two domains are equally large and the largest figure only falls with a second VM.
-    int sum_vms = 0;
-};
-
-// What the pool misses with the VMs in `capacity` for its sustained demand times `demand_factor`.
-pool_deficit deficit_of(const placement_pool& pool, const placement_policy& policy,
-                        const domain_counts& capacity, double demand_factor = 1.0);
+// VMs that the pool misses with those in `capacity`, for its sustained demand times `demand_factor` and for
+// the declared losses; at least 0. That many VMs end the shortage if they are in other domains than the
+// largest.
+int shortage_of(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
+                double demand_factor = 1.0);
+
+// True if the VM adds to what the pool misses: it serves the demand, or remains after a loss that the pool
+// cannot hold. The shortage itself may stay equal when two domains are equally large, so it does not decide
+// this.
+bool vm_helps(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
+              const placement_vm& vm);
 
 }  // namespace masticpass
 
--- a/source/decision/placement/pool_spread.cpp
+++ b/source/decision/placement/pool_spread.cpp
@@ -15,6 +15,17 @@
     }
 }
 
+template <typename Counts, typename Key>
+int largest_count(const Counts& counts, const Key* except = nullptr) {
+    int largest = 0;
+    for (const auto& [key, count] : counts) {
+        if (except == nullptr || key != *except) {
+            largest = std::max(largest, count);
+        }
+    }
+    return largest;
+}
+
 }  // namespace
 
 void domain_counts::add(const placement_vm& vm, int change) {
@@ -33,16 +44,21 @@
     return found == racks_.end() ? 0 : found->second;
 }
 
-void domain_counts::for_each_zone(absl::FunctionRef<void(int)> visit) const {
-    for (const auto& [zone, count] : zones_) {
-        visit(count);
-    }
+int domain_counts::largest_zone() const {
+    return largest_count<decltype(zones_), zone_name>(zones_);
 }
 
-void domain_counts::for_each_rack(absl::FunctionRef<void(int)> visit) const {
-    for (const auto& [rack, count] : racks_) {
-        visit(count);
-    }
+int domain_counts::largest_rack() const {
+    return largest_count<decltype(racks_), rack_key>(racks_);
+}
+
+int domain_counts::largest_zone_except(const placement_vm& vm) const {
+    return largest_count(zones_, &vm.zone);
+}
+
+int domain_counts::largest_rack_except(const placement_vm& vm) const {
+    const rack_key rack(vm.zone, vm.rack);
+    return largest_count(racks_, &rack);
 }
 
 domain_counts capacity_of(const placement_pool& pool) {
--- a/source/decision/placement/pool_spread.h
+++ b/source/decision/placement/pool_spread.h
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/functional/function_ref.h>
 
 #include "common/identifier.h"
 #include "decision/placement/placement_input.h"
@@ -20,9 +19,11 @@
     int total() const { return total_; }
     int in_zone(const zone_name& zone) const;
     int in_rack(const zone_name& zone, const rack_name& rack) const;
-    // Calls `visit` with the number of VMs in each zone, or each rack, that has any.
-    void for_each_zone(absl::FunctionRef<void(int)> visit) const;
-    void for_each_rack(absl::FunctionRef<void(int)> visit) const;
+    int largest_zone() const;
+    int largest_rack() const;
+    // The largest of the zones, or racks, that the VM is not in.
+    int largest_zone_except(const placement_vm& vm) const;
+    int largest_rack_except(const placement_vm& vm) const;
     // Zones and racks that have at least one VM.
     int zones() const { return static_cast<int>(zones_.size()); }
     int racks() const { return static_cast<int>(racks_.size()); }
