--- a/source/decision/placement/pool_assessment.h
+++ b/source/decision/placement/pool_assessment.h
@@ -72,21 +72,17 @@
 // Starts, keeps or clears the clocks. Calling it again with an unchanged assessment changes nothing.
 void update_clocks(pool_clocks& clocks, const pool_assessment& assessment, absl::Time now);
 
-// VMs that a pool misses, counted apart for each requirement, each at least 0.
-struct pool_deficit {
-    int demand_vms = 0;
-    int rack_loss_vms = 0;
-    int zone_loss_vms = 0;
-
-    // VMs that end the shortage if all of them are in domains other than the largest.
-    int largest() const;
-    // Falls whenever a VM helps with any requirement.
-    int sum() const { return demand_vms + rack_loss_vms + zone_loss_vms; }
-};
-
-// What the pool misses with the VMs in `capacity` for its sustained demand times `demand_factor`.
-pool_deficit deficit_of(const placement_pool& pool, const placement_policy& policy,
-                        const domain_counts& capacity, double demand_factor = 1.0);
+// VMs that the pool misses with those in `capacity`, for its sustained demand times `demand_factor` and for
+// the declared losses; at least 0. That many VMs end the shortage if they are in other domains than the
+// largest.
+int shortage_of(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
+                double demand_factor = 1.0);
+
+// True if the VM adds to what the pool misses: it serves the demand, or remains after a loss that the pool
+// cannot hold. The shortage itself may stay equal when two domains are equally large, so it does not decide
+// this.
+bool vm_helps(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
+              const placement_vm& vm);
 
 }  // namespace masticpass
 
--- a/source/decision/placement/pool_spread.cpp
+++ b/source/decision/placement/pool_spread.cpp
@@ -15,11 +15,13 @@
     }
 }
 
-template <typename Counts>
-int largest_count(const Counts& counts) {
+template <typename Counts, typename Key>
+int largest_count(const Counts& counts, const Key* except = nullptr) {
     int largest = 0;
     for (const auto& [key, count] : counts) {
-        largest = std::max(largest, count);
+        if (except == nullptr || key != *except) {
+            largest = std::max(largest, count);
+        }
     }
     return largest;
 }
@@ -43,11 +45,20 @@
 }
 
 int domain_counts::largest_zone() const {
-    return largest_count(zones_);
+    return largest_count<decltype(zones_), zone_name>(zones_);
 }
 
 int domain_counts::largest_rack() const {
-    return largest_count(racks_);
+    return largest_count<decltype(racks_), rack_key>(racks_);
+}
+
+int domain_counts::largest_zone_except(const placement_vm& vm) const {
+    return largest_count(zones_, &vm.zone);
+}
+
+int domain_counts::largest_rack_except(const placement_vm& vm) const {
+    const rack_key rack(vm.zone, vm.rack);
+    return largest_count(racks_, &rack);
 }
 
 domain_counts capacity_of(const placement_pool& pool) {
--- a/source/decision/placement/pool_spread.h
+++ b/source/decision/placement/pool_spread.h
@@ -21,6 +21,9 @@
     int in_rack(const zone_name& zone, const rack_name& rack) const;
     int largest_zone() const;
     int largest_rack() const;
+    // The largest of the zones, or racks, that the VM is not in.
+    int largest_zone_except(const placement_vm& vm) const;
+    int largest_rack_except(const placement_vm& vm) const;
     // Zones and racks that have at least one VM.
     int zones() const { return static_cast<int>(zones_.size()); }
     int racks() const { return static_cast<int>(racks_.size()); }
