--- /dev/null
+++ b/tests/fakes/fake_configuration_store.h
@@ -0,0 +1,81 @@
+#ifndef MASTICPASS_FAKES_FAKE_CONFIGURATION_STORE_H
+#define MASTICPASS_FAKES_FAKE_CONFIGURATION_STORE_H
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "platform/configuration_store.h"
+#include "standin/store_state.h"
+
+namespace masticpass::fakes {
+
+// A configuration store in memory with faults that a test injects. Leases end only by `expire_lease`.
+// Thread safety: all methods may be called from any thread.
+class fake_configuration_store final : public configuration_store {
+public:
+    // Called before each call takes effect, without a lock held, with the name of the method and the key or
+    // prefix. A test can delay the call in it or write to the store through a second fake call.
+    using call_hook = std::function<void(std::string_view method, std::string_view key)>;
+
+    tl::expected<store_entry, store_error> read(std::string_view key) override;
+    tl::expected<store_snapshot, store_error> read_prefix(std::string_view prefix) override;
+    tl::expected<store_revision, store_error> compare_and_swap(std::string_view key,
+                                                               store_revision expected_revision,
+                                                               std::string_view value,
+                                                               lease_id lease) override;
+    tl::expected<void, store_error> compare_and_remove(std::string_view key,
+                                                       store_revision expected_revision) override;
+    tl::expected<watch_result, store_error> watch(std::string_view prefix, store_revision after_revision,
+                                                  absl::Duration timeout,
+                                                  const std::stop_token& stop) override;
+    tl::expected<lease_id, store_error> grant_lease(absl::Duration time_to_live) override;
+    tl::expected<void, store_error> renew_lease(lease_id lease) override;
+
+    // While set, all calls fail with `unavailable` and waiting watches end.
+    void set_down(bool down);
+    // The next `count` writes take effect and fail with `unknown_outcome`.
+    void lose_responses(int count);
+    // The next `count` writes have no effect and fail with `unknown_outcome`.
+    void lose_requests(int count);
+    // While set, reads return the data of the moment at which this was set.
+    void set_old_data(bool old_data) { state_.set_old_data(old_data); }
+    // Discards the history, so that watches after an earlier revision report a compaction.
+    void compact() { state_.compact(); }
+    void expire_lease(lease_id lease) { state_.revoke_lease(lease); }
+    void set_hook(call_hook hook);
+
+    // Number of calls of a method so far.
+    int calls(std::string_view method) const;
+    // Writes a value without a condition, as another writer would. Not subject to faults, not counted.
+    store_revision put(const std::string& key, const std::string& value);
+    // Removes a key as another writer would. Not subject to faults, not counted.
+    void remove(const std::string& key);
+    // The present value, regardless of faults; empty if there is none.
+    std::string value(const std::string& key) const;
+
+private:
+    enum class write_fate { applied, response_lost, request_lost };
+
+    // Counts the call and runs the hook. Returns false if the store is down.
+    bool admit(std::string_view method, std::string_view key);
+    write_fate next_write_fate();
+    bool is_down() const;
+    tl::expected<store_revision, store_error> transact(const standin::transaction& request);
+
+    standin::store_state state_;
+    mutable absl::Mutex mutex_;
+    bool is_down_ ABSL_GUARDED_BY(mutex_) = false;
+    int responses_to_lose_ ABSL_GUARDED_BY(mutex_) = 0;
+    int requests_to_lose_ ABSL_GUARDED_BY(mutex_) = 0;
+    call_hook hook_ ABSL_GUARDED_BY(mutex_);
+    std::map<std::string, int, std::less<>> calls_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace masticpass::fakes
+
+#endif
--- a/tests/standin/store_state.cpp
+++ b/tests/standin/store_state.cpp
@@ -33,6 +33,12 @@
     return snapshot;
 }
 
+std::optional<std::string> store_state::current_value(std::string_view key) const {
+    const absl::MutexLock lock(&mutex_);
+    const auto entry = entries_.find(key);
+    return entry == entries_.end() ? std::nullopt : std::optional(entry->second.value);
+}
+
 transaction_result store_state::transact(const transaction& request) {
     const absl::MutexLock lock(&mutex_);
     for (const auto& comparison : request.comparisons) {
@@ -153,11 +159,12 @@
     }
 }
 
-bool store_state::find_changes(const key_range& keys, watch_result& result) const {
-    const store_revision after_revision = result.revision;
+watch_result store_state::find_changes(const key_range& keys, store_revision after_revision) const {
+    watch_result result;
+    result.revision = after_revision;
     if (after_revision < compacted_revision_) {
         result.compacted = true;
-        return true;
+        return result;
     }
     const auto first = std::upper_bound(
         history_.begin(), history_.end(), after_revision,
@@ -168,20 +175,20 @@
             result.revision = change->entry.revision;
         }
     }
-    return !result.changes.empty();
+    return result;
 }
 
 watch_result store_state::wait_for_changes(const key_range& keys, store_revision after_revision,
                                            absl::Duration timeout,
                                            const std::function<bool()>& cancelled) const {
-    watch_result result;
-    result.revision = after_revision;
     const absl::MutexLock lock(&mutex_);
+    // The condition may be evaluated several times and by other threads, so it has no side effects.
     const auto done = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-        return cancelled() || find_changes(keys, result);
+        const watch_result result = find_changes(keys, after_revision);
+        return cancelled() || result.compacted || !result.changes.empty();
     };
     mutex_.AwaitWithTimeout(absl::Condition(&done), timeout);
-    return result;
+    return find_changes(keys, after_revision);
 }
 
 void store_state::wake() const {
--- a/tests/standin/store_state.h
+++ b/tests/standin/store_state.h
@@ -56,6 +56,8 @@
 class store_state {
 public:
     store_snapshot range(const key_range& keys) const;
+    // The present value of a key, also while `range` returns old data.
+    std::optional<std::string> current_value(std::string_view key) const;
     transaction_result transact(const transaction& request);
 
     lease_id grant_lease(absl::Duration time_to_live, absl::Time now);
@@ -96,7 +98,8 @@
     void remove_lease(lease_id lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void unbind(const store_entry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void add_change(store_change change) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    bool find_changes(const key_range& keys, watch_result& result) const
+    // The changes after `after_revision`, or whether they are compacted.
+    watch_result find_changes(const key_range& keys, store_revision after_revision) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     mutable absl::Mutex mutex_;
