--- /dev/null
+++ b/source/decision/membership/membership_view.h
@@ -0,0 +1,80 @@
+#ifndef MASTICPASS_DECISION_MEMBERSHIP_MEMBERSHIP_VIEW_H
+#define MASTICPASS_DECISION_MEMBERSHIP_MEMBERSHIP_VIEW_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/time/time.h>
+
+#include "common/identifier.h"
+
+namespace masticpass {
+
+// The part of a heartbeat that membership uses.
+struct entry_observation {
+    entry_id entry;
+    incarnation_id incarnation;
+    zone_name zone;
+    // IP address and port for other entry VMs.
+    std::string address;
+    std::int64_t configuration_revision = 0;
+    bool is_store_reachable = false;
+};
+
+// Why an incarnation is known to run no longer. Silence is not a proof: a frozen process may resume.
+enum class gone_proof {
+    newer_incarnation,   // A newer incarnation of the entry VM was seen.
+    connection_refused,  // The address that it used refuses connections.
+    terminated,          // The platform terminated its VM.
+};
+
+// The entry VMs that this one knows by their heartbeats.
+// Thread safety: none; the owner serializes calls.
+class membership_view {
+public:
+    struct known_entry {
+        entry_observation observation;
+        absl::Time last_heard;
+    };
+
+    // Records a heartbeat. Returns false, without an effect, if a newer incarnation was seen before or if
+    // this incarnation is proved gone. A heartbeat that is overtaken by a later one of the same incarnation
+    // does not lower the configuration revision or the time.
+    bool record_heartbeat(const entry_observation& observation, absl::Time now);
+
+    // Records that `incarnation` and all older ones of the entry VM are gone, for example because the address
+    // at which `incarnation` was heard refused a connection after that.
+    void record_gone(const entry_id& entry, const incarnation_id& incarnation, gone_proof proof);
+
+    // The proof that an incarnation is gone; nullopt if there is none. The entry VM need not be known.
+    std::optional<gone_proof> proof_of_absence(const entry_id& entry,
+                                               const incarnation_id& incarnation) const;
+
+    // The newest incarnation heard of an entry VM, also if it is silent or gone; nullopt if it is unknown.
+    std::optional<known_entry> find(const entry_id& entry) const;
+
+    // The entry VMs heard within `silence_limit` before `now` and not proved gone, in the order of their ids.
+    // All zones if `zone` is empty.
+    std::vector<known_entry> alive(const zone_name& zone, absl::Time now, absl::Duration silence_limit) const;
+
+private:
+    struct gone_record {
+        // This incarnation and all older ones are gone.
+        incarnation_id incarnation;
+        gone_proof proof = gone_proof::newer_incarnation;
+    };
+
+    // By the value of the entry id.
+    std::map<std::string, known_entry> entries_;
+    std::map<std::string, gone_record> gone_;
+};
+
+// The ids of entry VMs, for example as the candidates of a rendezvous hash.
+std::vector<entry_id> entry_ids(const std::vector<membership_view::known_entry>& entries);
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/tests/decision/membership/membership_view_test.cpp
@@ -0,0 +1,79 @@
+#include "decision/membership/membership_view.h"
+
+#include <doctest/doctest.h>
+
+#include "decision/membership/incarnation.h"
+
+namespace masticpass {
+
+namespace {
+
+const absl::Time start = absl::UnixEpoch();
+const zone_name zone("z1");
+constexpr absl::Duration silence_limit = absl::Seconds(2);
+
+incarnation_id incarnation(int number) {
+    return make_incarnation_id(start + absl::Seconds(number), 0xfU - static_cast<std::uint32_t>(number));
+}
+
+entry_observation observe(const char* entry, int number, std::int64_t revision = 1) {
+    return {.entry = entry_id(entry),
+            .incarnation = incarnation(number),
+            .zone = zone,
+            .address = "127.0.0.1:1",
+            .configuration_revision = revision,
+            .is_store_reachable = true};
+}
+
+}  // namespace
+
+// Guards against a late heartbeat of an ended process that hides its successor.
+TEST_CASE("an older incarnation never replaces a newer one") {
+    membership_view view;
+    CHECK(view.record_heartbeat(observe("a", 2), start));
+    CHECK_FALSE(view.record_heartbeat(observe("a", 1), start + absl::Seconds(1)));
+    CHECK(view.find(entry_id("a"))->observation.incarnation == incarnation(2));
+    CHECK(view.proof_of_absence(entry_id("a"), incarnation(1)) == gone_proof::newer_incarnation);
+    CHECK(view.record_heartbeat(observe("a", 3), start + absl::Seconds(1)));
+    CHECK(view.proof_of_absence(entry_id("a"), incarnation(2)) == gone_proof::newer_incarnation);
+}
+
+// Guards against taking over the slots of a frozen process that may resume.
+TEST_CASE("silence ends being alive but proves nothing") {
+    membership_view view;
+    view.record_heartbeat(observe("a", 1), start);
+    CHECK(view.alive(zone, start + silence_limit, silence_limit).size() == 1);
+    CHECK(view.alive(zone, start + absl::Hours(9), silence_limit).empty());
+    CHECK_FALSE(view.proof_of_absence(entry_id("a"), incarnation(1)).has_value());
+    view.record_heartbeat(observe("a", 1), start + absl::Hours(9));
+    CHECK(view.alive(zone, start + absl::Hours(9), silence_limit).size() == 1);
+    CHECK(view.alive(zone_name("z2"), start + absl::Hours(9), silence_limit).empty());
+}
+
+// Guards against a delayed heartbeat that revives an incarnation whose slots were given away.
+TEST_CASE("a proof holds for the incarnation and all older ones, not for a newer one") {
+    for (const auto proof : {gone_proof::connection_refused, gone_proof::terminated}) {
+        membership_view view;
+        view.record_heartbeat(observe("a", 2), start);
+        view.record_gone(entry_id("a"), incarnation(2), proof);
+        view.record_gone(entry_id("a"), incarnation(1), gone_proof::connection_refused);
+        CHECK(view.proof_of_absence(entry_id("a"), incarnation(2)) == proof);
+        CHECK(view.proof_of_absence(entry_id("a"), incarnation(1)).has_value());
+        CHECK_FALSE(view.proof_of_absence(entry_id("a"), incarnation(3)).has_value());
+        CHECK_FALSE(view.record_heartbeat(observe("a", 2), start));
+        CHECK(view.alive(zone, start, silence_limit).empty());
+        CHECK(view.record_heartbeat(observe("a", 3), start));
+        CHECK(view.alive(zone, start, silence_limit).size() == 1);
+    }
+}
+
+// Guards against a configuration revision that appears to go back when heartbeats arrive out of order.
+TEST_CASE("heartbeats out of order do not lower the revision or the time") {
+    membership_view view;
+    view.record_heartbeat(observe("a", 1, 7), start + absl::Seconds(5));
+    view.record_heartbeat(observe("a", 1, 6), start + absl::Seconds(4));
+    CHECK(view.find(entry_id("a"))->observation.configuration_revision == 7);
+    CHECK(view.find(entry_id("a"))->last_heard == start + absl::Seconds(5));
+}
+
+}  // namespace masticpass
