--- /dev/null
+++ b/measure/placement_measure.cpp
@@ -0,0 +1,30 @@
+// Compares the placement decision with fixed spare per pool and with following the demand each round.
+// Usage: placement_measure [--seed N] [--seeds N] [--section buffer|time|memory]
+
+#include <cstdint>
+#include <string>
+
+#include <CLI/CLI.hpp>
+
+#include "support/placement_comparison.h"
+#include "support/placement_cost.h"
+
+int main(int argc, char** argv) {
+    std::uint64_t first_seed = 1;
+    int seeds = 3;
+    std::string section;
+    CLI::App app("Measures the placement decision.");
+    app.add_option("--seed", first_seed, "first seed");
+    app.add_option("--seeds", seeds, "number of seeds");
+    app.add_option("--section", section, "buffer, time or memory; all if absent");
+    CLI11_PARSE(app, argc, argv);
+    if (section.empty() || section == "buffer") {
+        masticpass::measure::print_buffer_and_moves(first_seed, seeds);
+    }
+    if (section.empty() || section == "time") {
+        masticpass::measure::print_decision_time(first_seed);
+    }
+    if (section.empty() || section == "memory") {
+        masticpass::measure::print_memory();
+    }
+}
--- /dev/null
+++ b/measure/support/placement_simulation.h
@@ -0,0 +1,65 @@
+#ifndef MASTICPASS_MEASURE_SUPPORT_PLACEMENT_SIMULATION_H
+#define MASTICPASS_MEASURE_SUPPORT_PLACEMENT_SIMULATION_H
+
+#include <vector>
+
+#include "support/placement_deployment.h"
+
+namespace masticpass::measure {
+
+// One VM of the simulated fleet.
+struct simulated_vm {
+    int zone = 0;
+    int rack = 0;
+    int pool = 0;
+    // Second from which the VM serves its pool; later than now while it moves.
+    int ready_at = 0;
+    bool failed = false;
+
+    bool moving(int second) const { return ready_at > second; }
+    bool serving(int second) const { return !failed && ready_at <= second; }
+};
+
+struct simulated_move {
+    int vm = 0;
+    int to = 0;
+};
+
+// Seconds for which a moved VM serves neither pool: it drains and reboots.
+constexpr int move_seconds = 180;
+constexpr int round_seconds = 60;
+
+// Chooses moves once per round. Pool p serves service p; pool 0 is the spare pool.
+class placement_strategy {
+public:
+    placement_strategy() = default;
+    placement_strategy(const placement_strategy&) = delete;
+    placement_strategy& operator=(const placement_strategy&) = delete;
+    virtual ~placement_strategy() = default;
+
+    // Number of VMs of each pool at the start; the sum is `vms`.
+    virtual std::vector<int> initial_sizes(const demand_trace& trace, int vms) = 0;
+    // Demand of each service in slots, averaged over the 5 s that end at `second`.
+    virtual void observe(int second, const std::vector<double>& slots) = 0;
+    virtual std::vector<simulated_move> decide(int second, const std::vector<simulated_vm>& vms) = 0;
+};
+
+struct simulation_result {
+    int vms = 0;
+    // Share of the offered worth that was not refused for its wait.
+    double on_time = 0;
+    double mean_wait_seconds = 0;
+    int moves = 0;
+    // VM-hours beyond those that the drifting mean needs with full use of each slot.
+    double spare_vm_hours = 0;
+};
+
+// Runs the trace over a fleet. Each service has one queue for its pool (ideal spill-over between zones),
+// served first come, first served; work that would wait longer than the bound is refused. The rule is the
+// same for every strategy.
+simulation_result simulate(const placement_deployment& deployment, const demand_trace& trace, int vms,
+                           placement_strategy& strategy);
+
+}  // namespace masticpass::measure
+
+#endif
--- /dev/null
+++ b/measure/support/placement_strategies.cpp
@@ -0,0 +1,174 @@
+#include "support/placement_strategies.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <string>
+#include <utility>
+
+namespace masticpass::measure {
+
+namespace {
+
+constexpr double slots_per_vm = 8;
+
+absl::Time time_of(int second) {
+    return absl::UnixEpoch() + absl::Hours(1) + absl::Seconds(second);
+}
+
+// VMs for the long-term means, the rest in the spare pool.
+std::vector<int> sizes_with_spare(const demand_trace& trace, int vms, double headroom) {
+    auto sizes = proportional_sizes(trace, vms);
+    int left = vms;
+    for (std::size_t pool = 1; pool < sizes.size(); ++pool) {
+        const auto needed =
+            static_cast<int>(std::ceil(trace.mean(static_cast<int>(pool)) * headroom / slots_per_vm));
+        sizes[pool] = std::min(sizes[pool], needed);
+        left -= sizes[pool];
+    }
+    sizes[0] = left;
+    return sizes;
+}
+
+}  // namespace
+
+std::vector<int> proportional_sizes(const demand_trace& trace, int vms) {
+    double total = 0;
+    for (int service = 0; service < trace.services(); ++service) {
+        total += trace.mean(service);
+    }
+    std::vector<int> sizes;
+    std::vector<std::pair<double, std::size_t>> remainders;
+    for (int service = 0; service < trace.services(); ++service) {
+        const double share = trace.mean(service) / total * vms;
+        sizes.push_back(std::max(1, static_cast<int>(share)));
+        remainders.emplace_back(sizes.back() - share, sizes.size() - 1);
+    }
+    std::sort(remainders.begin(), remainders.end());
+    int left = vms - std::accumulate(sizes.begin(), sizes.end(), 0);
+    for (std::size_t index = 0; left > 0; ++index, --left) {
+        ++sizes[remainders[index % remainders.size()].second];
+    }
+    for (std::size_t index = remainders.size(); left < 0 && index > 0; --index, ++left) {
+        --sizes[remainders[index - 1].second];
+    }
+    return sizes;
+}
+
+std::vector<int> fixed_spare::initial_sizes(const demand_trace& trace, int vms) {
+    return proportional_sizes(trace, vms);
+}
+
+void fixed_spare::observe(int, const std::vector<double>&) {}
+
+std::vector<simulated_move> fixed_spare::decide(int, const std::vector<simulated_vm>&) {
+    return {};
+}
+
+std::vector<int> chase_demand::initial_sizes(const demand_trace& trace, int vms) {
+    for (int service = 0; service < trace.services(); ++service) {
+        slots_.push_back(trace.mean(service));
+    }
+    samples_ = 1;
+    return sizes_with_spare(trace, vms, headroom_);
+}
+
+void chase_demand::observe(int, const std::vector<double>& slots) {
+    ++samples_;
+    for (std::size_t index = 0; index < slots.size(); ++index) {
+        slots_[index] += slots[index];
+    }
+}
+
+std::vector<simulated_move> chase_demand::decide(int second, const std::vector<simulated_vm>& vms) {
+    std::vector<int> missing(slots_.size());
+    for (std::size_t pool = 0; pool < slots_.size(); ++pool) {
+        missing[pool] =
+            std::max(1, static_cast<int>(std::ceil(slots_[pool] / samples_ * headroom_ / slots_per_vm)));
+        slots_[pool] = 0;
+    }
+    samples_ = 0;
+    for (const auto& vm : vms) {
+        missing[static_cast<std::size_t>(vm.pool)] -= vm.failed ? 0 : 1;
+    }
+    std::vector<simulated_move> moves;
+    std::size_t receiver = 0;
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        const auto donor = static_cast<std::size_t>(vms[index].pool);
+        if (!vms[index].serving(second) || missing[donor] >= 0) {
+            continue;
+        }
+        while (receiver < missing.size() && missing[receiver] <= 0) {
+            ++receiver;
+        }
+        // What no pool misses goes to the spare pool, where it stays.
+        const auto to = receiver < missing.size() ? receiver : 0;
+        if (to != donor) {
+            ++missing[donor];
+            --missing[to];
+            moves.push_back({static_cast<int>(index), static_cast<int>(to)});
+        }
+    }
+    return moves;
+}
+
+planned_placement::planned_placement(const placement_deployment& deployment, placement_policy policy)
+    : zones_(deployment.zones), planner_(policy) {
+    for (int service = 0; service < deployment.services; ++service) {
+        services_.emplace_back("s" + std::to_string(1000 + service));
+    }
+}
+
+std::vector<int> planned_placement::initial_sizes(const demand_trace& trace, int vms) {
+    for (int service = 0; service < trace.services(); ++service) {
+        planned_slots_.push_back(trace.mean(service));
+    }
+    auto sizes = sizes_with_spare(trace, vms, placement_policy{}.headroom);
+    const int needed =
+        static_cast<int>(std::ceil(trace.mean(0) * placement_policy{}.headroom / slots_per_vm));
+    buffer_vms_ = std::max(0, (sizes[0] - needed) / 2);
+    return sizes;
+}
+
+void planned_placement::observe(int second, const std::vector<double>& slots) {
+    for (std::size_t index = 0; index < slots.size(); ++index) {
+        tracker_.record(services_[index], time_of(second), slots[index]);
+    }
+}
+
+std::vector<simulated_move> planned_placement::decide(int second, const std::vector<simulated_vm>& vms) {
+    std::vector<placement_pool> pools(services_.size());
+    for (std::size_t index = 0; index < pools.size(); ++index) {
+        auto& pool = pools[index];
+        planned_slots_[index] =
+            steady_demand(planned_slots_[index], tracker_.estimate(services_[index], time_of(second)));
+        pool.pool = pool_name(services_[index].value());
+        pool.team = team_name("team");
+        pool.minimum_vms = 1;
+        pool.spare = index == 0;
+        pool.buffer_vms = pool.spare ? buffer_vms_ : 0;
+        pool.survive_rack = true;
+        pool.budget.max_unavailable = static_cast<int>(vms.size());
+        pool.sustained_slots = planned_slots_[index];
+    }
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        const auto& vm = vms[index];
+        const auto state = vm.failed           ? placement_vm_state::unavailable
+                           : vm.moving(second) ? placement_vm_state::incoming
+                                               : placement_vm_state::serving;
+        pools[static_cast<std::size_t>(vm.pool)].vms.push_back({vm_id(std::to_string(index)),
+                                                                zone_name(std::to_string(vm.zone)),
+                                                                rack_name(std::to_string(vm.rack)), state});
+    }
+    for (auto& pool : pools) {
+        planner_.update_pool(std::move(pool));
+    }
+    std::vector<simulated_move> moves;
+    for (const auto& move : planner_.plan(time_of(second)).moves) {
+        const auto to = std::find(services_.begin(), services_.end(), service_name(move.to.value()));
+        moves.push_back({std::stoi(move.vm.value()), static_cast<int>(to - services_.begin())});
+    }
+    return moves;
+}
+
+}  // namespace masticpass::measure
--- /dev/null
+++ b/measure/support/placement_strategies.h
@@ -0,0 +1,60 @@
+#ifndef MASTICPASS_MEASURE_SUPPORT_PLACEMENT_STRATEGIES_H
+#define MASTICPASS_MEASURE_SUPPORT_PLACEMENT_STRATEGIES_H
+
+#include <string>
+#include <vector>
+
+#include "decision/placement/demand_tracker.h"
+#include "decision/placement/plan_placement.h"
+#include "support/placement_simulation.h"
+
+namespace masticpass::measure {
+
+// Distributes VMs in proportion to the long-term means; each pool gets at least one.
+std::vector<int> proportional_sizes(const demand_trace& trace, int vms);
+
+// Baseline: each pool keeps its share of the fleet, so its spare is fixed. Nothing moves.
+class fixed_spare final : public placement_strategy {
+public:
+    std::vector<int> initial_sizes(const demand_trace& trace, int vms) override;
+    void observe(int second, const std::vector<double>& slots) override;
+    std::vector<simulated_move> decide(int second, const std::vector<simulated_vm>& vms) override;
+};
+
+// Baseline: each round every pool gets the VMs for the mean demand of the last round; the rest is in the
+// spare pool.
+class chase_demand final : public placement_strategy {
+public:
+    explicit chase_demand(double headroom) : headroom_(headroom) {}
+
+    std::vector<int> initial_sizes(const demand_trace& trace, int vms) override;
+    void observe(int second, const std::vector<double>& slots) override;
+    std::vector<simulated_move> decide(int second, const std::vector<simulated_vm>& vms) override;
+
+private:
+    double headroom_;
+    int samples_ = 0;
+    std::vector<double> slots_;
+};
+
+// The placement decision under test.
+class planned_placement final : public placement_strategy {
+public:
+    planned_placement(const placement_deployment& deployment, placement_policy policy);
+
+    std::vector<int> initial_sizes(const demand_trace& trace, int vms) override;
+    void observe(int second, const std::vector<double>& slots) override;
+    std::vector<simulated_move> decide(int second, const std::vector<simulated_vm>& vms) override;
+
+private:
+    int zones_;
+    demand_tracker tracker_;
+    placement_planner planner_;
+    std::vector<service_name> services_;
+    std::vector<double> planned_slots_;
+    int buffer_vms_ = 0;
+};
+
+}  // namespace masticpass::measure
+
+#endif
--- a/source/decision/placement/demand_tracker.cpp
+++ b/source/decision/placement/demand_tracker.cpp
@@ -1,9 +1,17 @@
 #include "decision/placement/demand_tracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace masticpass {
 
+double steady_demand(double planned_slots, const demand_estimate& estimate, double band) {
+    if (!estimate.reliable || std::abs(estimate.sustained_slots - planned_slots) <= band * planned_slots) {
+        return planned_slots;
+    }
+    return estimate.sustained_slots;
+}
+
 demand_tracker::demand_tracker(demand_window window) : window_(window) {}
 
 void demand_tracker::record(const service_name& service, absl::Time now, double slots) {
--- a/source/decision/placement/demand_tracker.h
+++ b/source/decision/placement/demand_tracker.h
@@ -27,11 +27,15 @@
     // refusals, since it ends before a move does.
     double peak_slots = 0;
     // Time that the samples in the window cover.
-    absl::Duration covered;
+    absl::Duration covered = absl::ZeroDuration();
     // False until samples cover half the window: a shorter average may consist of one burst.
     bool reliable = false;
 };
 
+// The sustained demand to plan with: `planned_slots` until a reliable estimate differs by more than `band` of
+// it. The band keeps small changes of the average from causing a new assessment of the pool each round.
+double steady_demand(double planned_slots, const demand_estimate& estimate, double band = 0.03);
+
 // Averages the periodic demand samples of each service over a sliding window.
 // Ownership: one instance per placement agent. Thread safety: none, the caller serializes access.
 class demand_tracker {
--- a/tests/decision/placement/demand_tracker_test.cpp
+++ b/tests/decision/placement/demand_tracker_test.cpp
@@ -68,6 +68,15 @@
     CHECK(tracker.estimate(proofs, now).reliable);
 }
 
+// Guards against a new assessment of every pool in every round, and against plans from too few samples.
+TEST_CASE("the planned demand changes only with a reliable estimate outside the band") {
+    const demand_estimate estimate{.sustained_slots = 50, .reliable = true};
+    CHECK(steady_demand(49, estimate) == 49);
+    CHECK(steady_demand(40, estimate) == 50);
+    CHECK(steady_demand(0, estimate) == 50);
+    CHECK(steady_demand(40, {.sustained_slots = 50}) == 40);
+}
+
 // Guards against samples that arrive twice or late and would count double.
 TEST_CASE("a sample that is not newer is ignored") {
     demand_tracker tracker;
