--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -1,6 +1,7 @@
 #include "decision/placement/move_round.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
 namespace masticpass {
@@ -111,12 +112,15 @@
     auto best = vms.size();
     for (std::size_t index = 0; index < vms.size(); ++index) {
         const auto& vm = vms[index];
-        if (donor.leaving.contains(index) || !can_give(donor, vm) || !accepts(receiver, vm, cause)) {
+        if (donor.leaving.contains(index) || !accepts(receiver, vm, cause)) {
             continue;
         }
-        // The id decides between equal VMs, so that the order of the input does not matter.
-        if (best == vms.size() ||
-            std::tuple(spread(vm), vm.vm.value()) < std::tuple(spread(vms[best]), vms[best].vm.value())) {
+        // The id decides between equal VMs, so that the order of the input does not matter. The donor's side
+        // costs most and is checked last.
+        const auto rank = std::tuple(spread(vm), std::string_view(vm.vm.value()));
+        if ((best == vms.size() ||
+             rank < std::tuple(spread(vms[best]), std::string_view(vms[best].vm.value()))) &&
+            can_give(donor, vm)) {
             best = index;
         }
     }
