--- a/measure/placement_measure.cpp
+++ b/measure/placement_measure.cpp
@@ -1,5 +1,5 @@
 // Compares the placement decision with fixed spare per pool and with following the demand each round.
-// Usage: placement_measure [--seed N] [--seeds N] [--section buffer|time|memory]
+// Usage: placement_measure [--seed N] [--seeds N] [--section buffer|time|memory] [--deployment NAME]
 
 #include <cstdint>
 #include <string>
@@ -13,13 +13,15 @@
     std::uint64_t first_seed = 1;
     int seeds = 3;
     std::string section;
+    std::string deployment;
     CLI::App app("Measures the placement decision.");
     app.add_option("--seed", first_seed, "first seed");
     app.add_option("--seeds", seeds, "number of seeds");
     app.add_option("--section", section, "buffer, time or memory; all if absent");
+    app.add_option("--deployment", deployment, "co-operative, loomsoft or two-years; all if absent");
     CLI11_PARSE(app, argc, argv);
     if (section.empty() || section == "buffer") {
-        masticpass::measure::print_buffer_and_moves(first_seed, seeds);
+        masticpass::measure::print_buffer_and_moves(first_seed, seeds, deployment);
     }
     if (section.empty() || section == "time") {
         masticpass::measure::print_decision_time(first_seed);
--- a/measure/support/placement_strategies.cpp
+++ b/measure/support/placement_strategies.cpp
@@ -113,7 +113,7 @@
 }
 
 planned_placement::planned_placement(const placement_deployment& deployment, placement_policy policy)
-    : zones_(deployment.zones), planner_(policy) {
+    : headroom_(policy.headroom), planner_(policy) {
     for (int service = 0; service < deployment.services; ++service) {
         services_.emplace_back("s" + std::to_string(1000 + service));
     }
@@ -123,9 +123,8 @@
     for (int service = 0; service < trace.services(); ++service) {
         planned_slots_.push_back(trace.mean(service));
     }
-    auto sizes = sizes_with_spare(trace, vms, placement_policy{}.headroom);
-    const int needed =
-        static_cast<int>(std::ceil(trace.mean(0) * placement_policy{}.headroom / slots_per_vm));
+    auto sizes = sizes_with_spare(trace, vms, headroom_);
+    const int needed = static_cast<int>(std::ceil(trace.mean(0) * headroom_ / slots_per_vm));
     buffer_vms_ = std::max(0, (sizes[0] - needed) / 2);
     return sizes;
 }
--- a/measure/support/placement_strategies.h
+++ b/measure/support/placement_strategies.h
@@ -47,7 +47,7 @@
     std::vector<simulated_move> decide(int second, const std::vector<simulated_vm>& vms) override;
 
 private:
-    int zones_;
+    double headroom_;
     demand_tracker tracker_;
     placement_planner planner_;
     std::vector<service_name> services_;
