--- /dev/null
+++ b/source/application/exit_code.h
@@ -0,0 +1,25 @@
+#ifndef MASTICPASS_APPLICATION_EXIT_CODE_H
+#define MASTICPASS_APPLICATION_EXIT_CODE_H
+
+namespace masticpass {
+
+// Exit codes of the command line, for scripts.
+namespace exit_code {
+
+inline constexpr int ok = 0;
+// Refused or invalid; no effect.
+inline constexpr int refused = 1;
+// Wrong usage of the command line.
+inline constexpr int usage = 2;
+// Another change came first; no effect.
+inline constexpr int conflict = 3;
+// The entry VM or its store cannot be reached; no effect.
+inline constexpr int unreachable = 4;
+// The call may have taken effect.
+inline constexpr int unknown_outcome = 5;
+
+}  // namespace exit_code
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/application/sections_file.cpp
@@ -0,0 +1,118 @@
+#include "application/sections_file.h"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <system_error>
+
+#include <json/json.h>
+#include <yaml-cpp/yaml.h>
+
+#include "decision/configuration/configuration_record.h"
+#include "decision/configuration/section_json.h"
+
+namespace masticpass {
+
+namespace {
+
+// Sections have at most 3 levels below the file.
+constexpr int deepest_level = 8;
+
+Json::Value scalar_to_json(const YAML::Node& node) {
+    const std::string& text = node.Scalar();
+    // The tag of a quoted scalar is "!": it is a string whatever it looks like.
+    if (node.Tag() == "!") {
+        return text;
+    }
+    if (text == "true" || text == "false") {
+        return text == "true";
+    }
+    Json::Int64 number = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    if (error == std::errc() && stop == end) {
+        return number;
+    }
+    return text;
+}
+
+std::runtime_error mistake(const YAML::Node& node, const std::string& message) {
+    return std::runtime_error("line " + std::to_string(node.Mark().line + 1) + ": " + message);
+}
+
+Json::Value to_json(const YAML::Node& node, int level) {
+    if (level > deepest_level) {
+        throw mistake(node, "expected at most " + std::to_string(deepest_level) + " levels");
+    }
+    if (node.IsScalar()) {
+        return scalar_to_json(node);
+    }
+    if (node.IsSequence()) {
+        Json::Value array(Json::arrayValue);
+        for (const auto& element : node) {
+            array.append(to_json(element, level + 1));
+        }
+        return array;
+    }
+    if (!node.IsMap()) {
+        return {};
+    }
+    Json::Value object(Json::objectValue);
+    for (const auto& pair : node) {
+        if (!pair.first.IsScalar()) {
+            throw mistake(pair.first, "expected a plain key");
+        }
+        if (object.isMember(pair.first.Scalar())) {
+            throw mistake(pair.first, "the key '" + pair.first.Scalar() + "' is given twice");
+        }
+        object[pair.first.Scalar()] = to_json(pair.second, level + 1);
+    }
+    return object;
+}
+
+tl::unexpected<configuration_problems> whole_file_problem(const std::string& file_name,
+                                                          const std::string& message) {
+    return tl::unexpected(configuration_problems{{file_name, message}});
+}
+
+}  // namespace
+
+tl::expected<fleet_configuration, configuration_problems> load_sections(const std::string& path) {
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        return whole_file_problem(path, "cannot be opened");
+    }
+    std::string text(largest_record_bytes + 1, '\0');
+    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(stream.gcount()));
+    if (stream.bad()) {
+        return whole_file_problem(path, "cannot be read");
+    }
+    return parse_sections(text, path);
+}
+
+// JSON is a subset of YAML, apart from corner cases that sections do not need.
+tl::expected<fleet_configuration, configuration_problems> parse_sections(std::string_view text,
+                                                                         const std::string& file_name) {
+    if (text.size() > largest_record_bytes) {
+        return whole_file_problem(file_name, "is larger than a configuration can be");
+    }
+    configuration_problems problems;
+    fleet_configuration sections;
+    try {
+        const YAML::Node root = YAML::Load(std::string(text));
+        sections = sections_from_json(to_json(root, 0), "", problems);
+    } catch (const std::exception& exception) {
+        return whole_file_problem(file_name, exception.what());
+    }
+    if (problems.empty()) {
+        return sections;
+    }
+    for (configuration_problem& problem : problems) {
+        problem.path = file_name + ": " + problem.path;
+    }
+    return tl::unexpected(problems);
+}
+
+}  // namespace masticpass
