--- /dev/null
+++ b/source/agent/fleet_state.cpp
@@ -0,0 +1,111 @@
+#include "agent/fleet_state.h"
+
+#include <utility>
+
+#include "agent/allotment_json.h"
+#include "agent/record_keys.h"
+#include "telemetry/log.h"
+
+namespace masticpass {
+
+void fleet_state::take(const record& changed) {
+    if (changed.key == configuration_key) {
+        take_configuration(changed);
+    } else if (changed.key.starts_with(pool_key_prefix)) {
+        take_pool(changed);
+    } else if (zone_of_allotment_key(changed.key)) {
+        take_allotment(changed);
+    }
+}
+
+void fleet_state::reject(const record& changed) {
+    metrics_.count({"masticpass_unreadable_records_total", "", ""});
+    log_event(log_severity::error, "record_unreadable",
+              {{"key", changed.key}, {"revision", std::to_string(changed.revision)}});
+}
+
+void fleet_state::take_configuration(const record& changed) {
+    if (changed.value.empty()) {
+        return;
+    }
+    auto parsed = parse_configuration_record(changed.value);
+    if (!parsed) {
+        reject(changed);
+        return;
+    }
+    const std::int64_t revision = parsed->revision;
+    {
+        const absl::MutexLock lock(&mutex_);
+        if (gate_.offer(revision) != gate_result::newer) {
+            return;
+        }
+        configuration_ = std::make_shared<const configuration_record>(std::move(*parsed));
+    }
+    metrics_.set({"masticpass_configuration_revision", "", ""}, static_cast<double>(revision));
+    log_event(log_severity::info, "configuration_in_force", {{"revision", std::to_string(revision)}});
+}
+
+void fleet_state::take_pool(const record& changed) {
+    if (changed.value.empty()) {
+        const absl::MutexLock lock(&mutex_);
+        pools_.erase(pool_name(changed.key.substr(pool_key_prefix.size())));
+        return;
+    }
+    auto parsed = parse_pool_record(changed.value);
+    if (!parsed) {
+        reject(changed);
+        return;
+    }
+    const absl::MutexLock lock(&mutex_);
+    const pool_name pool = parsed->pool;
+    pools_[pool] = {static_cast<std::int64_t>(changed.revision), std::move(*parsed)};
+}
+
+void fleet_state::take_allotment(const record& changed) {
+    if (changed.value.empty()) {
+        return;
+    }
+    auto parsed = parse_allotment_record(changed.value);
+    if (!parsed) {
+        reject(changed);
+        return;
+    }
+    const absl::MutexLock lock(&mutex_);
+    allotment_record& held = allotments_[*zone_of_allotment_key(changed.key)];
+    if (parsed->epoch > held.epoch) {
+        held = std::move(*parsed);
+    }
+}
+
+std::shared_ptr<const configuration_record> fleet_state::configuration() const {
+    const absl::MutexLock lock(&mutex_);
+    return configuration_;
+}
+
+std::int64_t fleet_state::configuration_revision() const {
+    const absl::MutexLock lock(&mutex_);
+    return gate_.revision();
+}
+
+std::int64_t fleet_state::refused_older_revisions() const {
+    const absl::MutexLock lock(&mutex_);
+    return gate_.refused_older();
+}
+
+std::map<pool_name, stored_pool_record> fleet_state::pools() const {
+    const absl::MutexLock lock(&mutex_);
+    return pools_;
+}
+
+std::map<zone_name, allotment_record> fleet_state::allotments() const {
+    const absl::MutexLock lock(&mutex_);
+    return allotments_;
+}
+
+allotment_record fleet_state::own_allotment() const {
+    const absl::MutexLock lock(&mutex_);
+    const auto found = allotments_.find(zone_);
+    return found == allotments_.end() ? allotment_record() : found->second;
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/agent/fleet_state.h
@@ -0,0 +1,60 @@
+#ifndef MASTICPASS_AGENT_FLEET_STATE_H
+#define MASTICPASS_AGENT_FLEET_STATE_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "decision/configuration/configuration_record.h"
+#include "decision/configuration/revision_gate.h"
+#include "decision/maintenance/pool_record.h"
+#include "decision/serving/allotment_record.h"
+#include "peer/record.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// The configuration in force, the pool records and the zone's allotment, read from the records that arrive
+// from the store and from peers. Thread safety: all methods may be called from any thread.
+class fleet_state {
+public:
+    fleet_state(const zone_name& zone, metrics_registry& metrics) : zone_(zone), metrics_(metrics) {}
+
+    // Takes a record that became newer. One that cannot be read is counted and ignored, and the last good one
+    // stays.
+    void take(const record& changed);
+
+    // The configuration in force; null if there is none yet.
+    std::shared_ptr<const configuration_record> configuration() const;
+    std::int64_t configuration_revision() const;
+    std::int64_t refused_older_revisions() const;
+
+    // All pool records with the store revisions at which they were read.
+    std::map<pool_name, stored_pool_record> pools() const;
+
+    // Allotments by zone, for those zones that have one.
+    std::map<zone_name, allotment_record> allotments() const;
+    // The allotment of the own zone; epoch 0 if there is none.
+    allotment_record own_allotment() const;
+
+private:
+    void take_configuration(const record& changed);
+    void take_pool(const record& changed);
+    void take_allotment(const record& changed);
+    void reject(const record& changed);
+
+    const zone_name zone_;
+    metrics_registry& metrics_;
+    mutable absl::Mutex mutex_;
+    revision_gate gate_ ABSL_GUARDED_BY(mutex_);
+    std::shared_ptr<const configuration_record> configuration_ ABSL_GUARDED_BY(mutex_);
+    std::map<pool_name, stored_pool_record> pools_ ABSL_GUARDED_BY(mutex_);
+    std::map<zone_name, allotment_record> allotments_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/agent/maintenance_agent.cpp
@@ -0,0 +1,244 @@
+#include "agent/maintenance_agent.h"
+
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <absl/time/clock.h>
+
+#include "agent/record_keys.h"
+#include "decision/maintenance/move_step.h"
+#include "decision/maintenance/transition.h"
+#include "telemetry/log.h"
+
+namespace masticpass {
+
+namespace {
+
+constexpr absl::Duration round_interval = absl::Milliseconds(250);
+
+pool_limits to_limits(const pool_section& section) {
+    pool_limits limits;
+    limits.budget.max_unavailable = section.budget.max_unavailable;
+    limits.budget.max_unavailable_per_zone = section.budget.max_unavailable_per_zone;
+    limits.budget.max_unavailable_per_rack = section.budget.max_unavailable_per_rack;
+    limits.budget.max_zones_unavailable = section.budget.max_zones_unavailable;
+    limits.budget.max_racks_unavailable = section.budget.max_racks_unavailable;
+    limits.minimum_vms = section.minimum_vms;
+    return limits;
+}
+
+wave_state to_state(declared_wave_state state) {
+    switch (state) {
+        case declared_wave_state::running:
+            return wave_state::running;
+        case declared_wave_state::paused:
+            return wave_state::paused;
+        case declared_wave_state::cancelled:
+            return wave_state::cancelled;
+    }
+    return wave_state::paused;
+}
+
+void add_declarations(const fleet_configuration& configuration, maintenance_view& view) {
+    for (const auto& [pool, section] : configuration.pools) {
+        view.limits[pool] = to_limits(section);
+    }
+    for (const auto& [wave, section] : configuration.waves) {
+        view.waves.push_back({wave, section.pools, to_state(section.state)});
+    }
+}
+
+operations_error to_error(const transition_error& error) {
+    switch (error.kind) {
+        case transition_error_kind::budget_exceeded:
+        case transition_error_kind::below_minimum:
+            return {operations_error_code::budget_exhausted, error.message};
+        case transition_error_kind::unknown_vm:
+            return {operations_error_code::not_found, error.message};
+        default:
+            return {operations_error_code::conflict, error.message};
+    }
+}
+
+}  // namespace
+
+maintenance_agent::maintenance_agent(const incarnation_id& self, configuration_store& store,
+                                     vm_control& control, record_cache& records, const fleet_state& fleet,
+                                     fleet_observer& observer, metrics_registry& metrics,
+                                     std::function<bool(const pool_name&)> is_own_pool)
+    : self_(self),
+      store_(store),
+      control_(control),
+      records_(records),
+      fleet_(fleet),
+      observer_(observer),
+      metrics_(metrics),
+      is_own_pool_(std::move(is_own_pool)),
+      thread_(round_interval, [this] { round(); }) {}
+
+maintenance_view maintenance_agent::view() {
+    maintenance_view result;
+    result.self = self_;
+    result.next_sequence = next_sequence_;
+    result.now = absl::Now();
+    result.pools = fleet_.pools();
+    if (const auto configuration = fleet_.configuration()) {
+        add_declarations(configuration->configuration, result);
+    }
+    {
+        const absl::MutexLock lock(&moves_mutex_);
+        result.moves = moves_;
+    }
+    result.vms = observer_.vms();
+    result.drain = observer_.drains();
+    return result;
+}
+
+void maintenance_agent::set_moves(const std::vector<move_request>& moves) {
+    const absl::MutexLock lock(&moves_mutex_);
+    moves_ = moves;
+}
+
+void maintenance_agent::round() {
+    if (stopping_ || !fleet_.configuration()) {
+        return;
+    }
+    const absl::MutexLock lock(&round_mutex_);
+    const maintenance_view present = view();
+    create_missing_records(present);
+    std::vector<pool_name> own;
+    for (const auto& [pool, stored] : present.pools) {
+        if (is_own_pool_(pool)) {
+            own.push_back(pool);
+        }
+    }
+    for (const maintenance_action& action : next_steps(present, own)) {
+        carry_out(action);
+    }
+}
+
+void maintenance_agent::create_missing_records(const maintenance_view& present) {
+    std::set<vm_id> listed;
+    for (const auto& [pool, stored] : present.pools) {
+        for (const auto& [vm, state] : stored.record.vms) {
+            listed.insert(vm);
+        }
+    }
+    const auto configuration = fleet_.configuration();
+    for (const auto& [pool, section] : configuration->configuration.pools) {
+        if (present.pools.contains(pool) || !is_own_pool_(pool)) {
+            continue;
+        }
+        pool_record record;
+        record.pool = pool;
+        for (const vm_id& vm : section.vms) {
+            const auto seen = present.vms.find(vm);
+            if (seen == present.vms.end() || seen->second.role != pool || listed.contains(vm)) {
+                continue;
+            }
+            pool_vm& added = record.vms[vm];
+            added.zone = seen->second.zone;
+            added.rack = seen->second.rack;
+            added.since = present.now;
+            added.maintained_at = present.now;
+        }
+        record.last_change = change_id(self_.value() + "." + std::to_string(next_sequence_++));
+        record.last_writer = self_;
+        write_pool(record, 0);
+    }
+}
+
+void maintenance_agent::carry_out(const maintenance_action& action) {
+    if (const auto* const record = std::get_if<write_record>(&action)) {
+        write(*record);
+    } else if (const auto* const call = std::get_if<reboot_vm>(&action)) {
+        reboot(*call);
+    }
+}
+
+void maintenance_agent::write(const write_record& action) {
+    ++next_sequence_;
+    if (write_pool(action.record, action.expected_revision)) {
+        log_event(log_severity::info, "pool_record_written",
+                  {{"pool", action.pool.value()}, {"change", action.record.last_change.value()}});
+    }
+}
+
+std::optional<store_revision> maintenance_agent::write_pool(const pool_record& record,
+                                                            std::int64_t expected_revision) {
+    const std::string key = pool_key(record.pool);
+    const std::string value = serialize(record);
+    const auto written = store_.compare_and_swap(key, expected_revision, value, lease_id::none);
+    if (written) {
+        records_.offer({key, value, static_cast<std::uint64_t>(*written)});
+        return *written;
+    }
+    metrics_.count(
+        {"masticpass_pool_write_failures_total", "reason", std::string(to_string(written.error().kind))});
+    // After a conflict or an unknown outcome the next round decides from the record as it is now. The same
+    // write is never sent again: if it took effect, the record shows it.
+    if (const auto present = store_.read(key)) {
+        records_.offer({key, present->value, static_cast<std::uint64_t>(present->revision)});
+    }
+    return std::nullopt;
+}
+
+void maintenance_agent::reboot(const reboot_vm& action) {
+    if (stopping_) {
+        return;
+    }
+    const auto started = control_.reboot({action.vm, action.operation, action.expected_boot, action.pool});
+    if (started) {
+        metrics_.count({"masticpass_reboots_total", "", ""});
+        log_event(log_severity::info, "reboot_started",
+                  {{"vm", action.vm.value()}, {"operation", action.operation.value()}});
+        return;
+    }
+    // The call is conditional on the boot identity, so the next round repeats it without harm.
+    metrics_.count({"masticpass_platform_errors_total", "call", "reboot"});
+}
+
+operations_result<drain_result> maintenance_agent::drain(const vm_id& vm, const operation_id& operation) {
+    const absl::MutexLock lock(&round_mutex_);
+    const maintenance_view present = view();
+    const auto owner = owner_of(vm, present.pools);
+    if (!owner) {
+        return tl::unexpected(
+            operations_error{operations_error_code::not_found, "no pool has the VM " + vm.value()});
+    }
+    const stored_pool_record& stored = present.pools.at(*owner);
+    const pool_vm& listed = stored.record.vms.at(vm);
+    if (listed.phase == vm_phase::reserved || listed.phase == vm_phase::acting) {
+        return drain_result{*owner, std::string(to_string(listed.phase))};
+    }
+    const auto limits = present.limits.find(*owner);
+    if (limits == present.limits.end()) {
+        return tl::unexpected(
+            operations_error{operations_error_code::unavailable, "no budget is declared for the pool"});
+    }
+    auto reserved = reserve(stored.record, vm, wave_name(), {operation, self_, present.now}, limits->second,
+                            observed_unavailable(stored.record, present.vms));
+    if (!reserved) {
+        return tl::unexpected(to_error(reserved.error()));
+    }
+    reserved->last_change = change_id(self_.value() + "." + std::to_string(next_sequence_++));
+    reserved->last_writer = self_;
+    if (!write_pool(*reserved, stored.revision)) {
+        return tl::unexpected(operations_error{operations_error_code::unknown_outcome,
+                                               "the reservation was not confirmed by the store"});
+    }
+    return drain_result{*owner, std::string(to_string(vm_phase::reserved))};
+}
+
+std::vector<wave_report> maintenance_agent::waves() {
+    const absl::MutexLock lock(&round_mutex_);
+    std::vector<wave_report> result;
+    for (maintenance_action& action : wave_reports(view())) {
+        result.push_back(std::get<wave_report>(std::move(action)));
+    }
+    return result;
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/agent/maintenance_agent.h
@@ -0,0 +1,76 @@
+#ifndef MASTICPASS_AGENT_MAINTENANCE_AGENT_H
+#define MASTICPASS_AGENT_MAINTENANCE_AGENT_H
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "agent/fleet_observer.h"
+#include "agent/fleet_state.h"
+#include "agent/periodic_thread.h"
+#include "agent/record_cache.h"
+#include "decision/maintenance/next_step.h"
+#include "operations/fleet_service.h"
+#include "platform/configuration_store.h"
+#include "platform/vm_control.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// Carries out the maintenance decisions for the pools that rendezvous hashing gives to this entry VM: writes
+// pool records and calls reboots. It decides nothing itself. Ownership: owns one thread; borrows everything
+// passed in. Thread safety: all methods may be called from any thread.
+class maintenance_agent {
+public:
+    // `is_own_pool` says whether this entry VM acts for the pool. `is_stopping` ends new writes and reboots.
+    maintenance_agent(const incarnation_id& self, configuration_store& store, vm_control& control,
+                      record_cache& records, const fleet_state& fleet, fleet_observer& observer,
+                      metrics_registry& metrics, std::function<bool(const pool_name&)> is_own_pool);
+
+    // Reserves a VM for an operator within its pool's budget.
+    operations_result<drain_result> drain(const vm_id& vm, const operation_id& operation);
+
+    // Progress of the declared waves as this entry VM sees them.
+    std::vector<wave_report> waves();
+
+    // Sets the moves that placement wants.
+    void set_moves(const std::vector<move_request>& moves);
+
+    void stop() { stopping_ = true; }
+
+private:
+    void round();
+    maintenance_view view();
+    void create_missing_records(const maintenance_view& present);
+    void carry_out(const maintenance_action& action);
+    void write(const write_record& action);
+    void reboot(const reboot_vm& action);
+    // The revision of the write; nullopt after any error, in which case the record is read again.
+    std::optional<store_revision> write_pool(const pool_record& record, std::int64_t expected_revision);
+
+    const incarnation_id self_;
+    configuration_store& store_;
+    vm_control& control_;
+    record_cache& records_;
+    const fleet_state& fleet_;
+    fleet_observer& observer_;
+    metrics_registry& metrics_;
+    const std::function<bool(const pool_name&)> is_own_pool_;
+    std::atomic<bool> stopping_ = false;
+    // Serializes rounds and operators' drains, which share the sequence numbers of change ids.
+    absl::Mutex round_mutex_;
+    std::int64_t next_sequence_ ABSL_GUARDED_BY(round_mutex_) = 1;
+    absl::Mutex moves_mutex_;
+    std::vector<move_request> moves_ ABSL_GUARDED_BY(moves_mutex_);
+    periodic_thread thread_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/agent/membership_agent.cpp
@@ -0,0 +1,215 @@
+#include "agent/membership_agent.h"
+
+#include <utility>
+
+#include "agent/record_keys.h"
+#include "peer/process_check.h"
+#include "telemetry/log.h"
+
+namespace masticpass {
+
+namespace {
+
+// An entry VM counts as alive for this many heartbeat intervals after its last heartbeat.
+constexpr int silence_limit_intervals = 4;
+constexpr absl::Duration process_check_time_limit = absl::Milliseconds(300);
+
+entry_observation to_observation(const heartbeat& beat) {
+    return {beat.entry,
+            beat.incarnation,
+            beat.zone,
+            beat.address,
+            static_cast<std::int64_t>(beat.configuration_revision),
+            beat.store_reachable};
+}
+
+}  // namespace
+
+membership_agent::membership_agent(const settings& configured, const incarnation_id& self, peer_client& peers,
+                                   record_cache& records, const clock& time_source, metrics_registry& metrics,
+                                   membership_events events)
+    : configured_(configured),
+      self_(self),
+      own_address_(to_string(configured.listen.peer)),
+      peers_(peers),
+      records_(records),
+      clock_(time_source),
+      metrics_(metrics),
+      events_(std::move(events)),
+      silence_limit_(configured.timing.heartbeat * silence_limit_intervals) {
+    set_registered({});
+}
+
+membership_agent::~membership_agent() {
+    stop();
+}
+
+void membership_agent::stop() {
+    std::map<std::string, std::unique_ptr<periodic_thread>> ended;
+    {
+        const absl::MutexLock lock(&links_mutex_);
+        stopped_ = true;
+        ended.swap(links_);
+    }
+}
+
+void membership_agent::set_registered(const std::set<std::string>& addresses) {
+    // Ended after the lock is released, since a link that ends may be waiting for it.
+    std::vector<std::unique_ptr<periodic_thread>> ended;
+    const absl::MutexLock lock(&links_mutex_);
+    if (stopped_) {
+        return;
+    }
+    std::set<std::string> wanted = addresses;
+    for (const peer_settings& peer : configured_.peers) {
+        wanted.insert(to_string(peer.address));
+    }
+    wanted.erase(own_address_);
+    for (auto& [address, link] : links_) {
+        if (!wanted.contains(address)) {
+            ended.push_back(std::move(link));
+        }
+    }
+    std::erase_if(links_, [](const auto& link) { return link.second == nullptr; });
+    for (const std::string& address : wanted) {
+        if (!links_.contains(address)) {
+            links_.emplace(address,
+                           std::make_unique<periodic_thread>(configured_.timing.heartbeat,
+                                                             [this, address] { exchange(address); }));
+        }
+    }
+}
+
+void membership_agent::exchange_now() {
+    const absl::MutexLock lock(&links_mutex_);
+    for (const auto& [address, link] : links_) {
+        link->wake();
+    }
+}
+
+void membership_agent::exchange(const std::string& address) {
+    const heartbeat own = events_.own_heartbeat();
+    const auto answer = peers_.exchange_heartbeat(address, own);
+    if (!answer) {
+        metrics_.count({"masticpass_heartbeat_failures_total", "reason",
+                        answer.error() == peer_error::refused ? "refused" : "no-answer"});
+        note_refused(address);
+        return;
+    }
+    if (answer->incarnation == self_ || !accept(*answer)) {
+        return;
+    }
+    reconcile(address, own, *answer);
+}
+
+void membership_agent::note_refused(const std::string& address) {
+    const auto parsed = parse_socket_address(address);
+    std::vector<membership_view::known_entry> heard;
+    {
+        const absl::MutexLock lock(&mutex_);
+        for (const auto& [entry, beat] : latest_) {
+            const auto known = view_.find(entry);
+            if (known && known->observation.address == address &&
+                !view_.proof_of_absence(entry, known->observation.incarnation)) {
+                heard.push_back(*known);
+            }
+        }
+    }
+    if (heard.empty() || !parsed || !is_process_gone(*parsed, process_check_time_limit)) {
+        return;
+    }
+    for (const auto& known : heard) {
+        {
+            const absl::MutexLock lock(&mutex_);
+            view_.record_gone(known.observation.entry, known.observation.incarnation,
+                              gone_proof::connection_refused);
+        }
+        log_event(log_severity::info, "entry_gone",
+                  {{"entry", known.observation.entry.value()},
+                   {"incarnation", known.observation.incarnation.value()}});
+        events_.gone(known.observation.incarnation);
+    }
+}
+
+bool membership_agent::accept(const heartbeat& beat) {
+    std::optional<incarnation_id> replaced;
+    {
+        const absl::MutexLock lock(&mutex_);
+        const auto before = view_.find(beat.entry);
+        if (!view_.record_heartbeat(to_observation(beat), clock_.now())) {
+            return false;
+        }
+        if (before && before->observation.incarnation != beat.incarnation) {
+            replaced = before->observation.incarnation;
+        }
+        latest_[beat.entry] = beat;
+    }
+    if (replaced) {
+        events_.gone(*replaced);
+    }
+    events_.received(beat);
+    return true;
+}
+
+void membership_agent::reconcile(const std::string& address, const heartbeat& own, const heartbeat& peer) {
+    const bool peer_has_newer_configuration = peer.configuration_revision > own.configuration_revision;
+    if (peer_has_newer_configuration || peer.record_revision > own.record_revision) {
+        // The configuration can be behind although newer records of other keys are held.
+        const std::uint64_t known = peer_has_newer_configuration ? 0 : own.record_revision;
+        if (const auto pulled = peers_.records_after(address, known)) {
+            receive_records(*pulled);
+        }
+    }
+    if (peer.configuration_revision < own.configuration_revision) {
+        if (const auto held = records_.find(std::string(configuration_key))) {
+            // A lost push is repeated at the next heartbeat.
+            static_cast<void>(peers_.push_records(address, {*held}));
+        }
+    }
+}
+
+heartbeat membership_agent::receive_heartbeat(const heartbeat& beat) {
+    if (beat.incarnation != self_) {
+        accept(beat);
+    }
+    return events_.own_heartbeat();
+}
+
+std::vector<record> membership_agent::records_after(std::uint64_t revision) {
+    return records_.after(revision);
+}
+
+void membership_agent::receive_records(const std::vector<record>& records) {
+    for (const record& received : records) {
+        records_.offer(received);
+    }
+}
+
+std::vector<membership_view::known_entry> membership_agent::alive(const zone_name& zone) const {
+    const absl::MutexLock lock(&mutex_);
+    return view_.alive(zone, clock_.now(), silence_limit_);
+}
+
+bool membership_agent::is_gone(const entry_id& entry, const incarnation_id& incarnation) const {
+    const absl::MutexLock lock(&mutex_);
+    return view_.proof_of_absence(entry, incarnation).has_value();
+}
+
+std::vector<heartbeat> membership_agent::latest() const {
+    const absl::MutexLock lock(&mutex_);
+    std::vector<heartbeat> result;
+    for (const auto& known : view_.alive(zone_name(), clock_.now(), silence_limit_)) {
+        result.push_back(latest_.at(known.observation.entry));
+    }
+    return result;
+}
+
+std::vector<entry_id> membership_agent::candidates(const zone_name& zone) const {
+    std::vector<entry_id> result = entry_ids(alive(zone));
+    if (zone.empty() || zone == configured_.entry.zone) {
+        result.push_back(configured_.entry.id);
+    }
+    return result;
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/agent/membership_agent.h
@@ -0,0 +1,95 @@
+#ifndef MASTICPASS_AGENT_MEMBERSHIP_AGENT_H
+#define MASTICPASS_AGENT_MEMBERSHIP_AGENT_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "agent/periodic_thread.h"
+#include "agent/record_cache.h"
+#include "common/clock.h"
+#include "decision/membership/membership_view.h"
+#include "peer/peer_client.h"
+#include "peer/peer_server.h"
+#include "settings/settings.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// What membership tells the rest of the entry VM. The functions are called from the agent's and the server's
+// threads.
+struct membership_events {
+    // Builds this entry VM's own heartbeat.
+    std::function<heartbeat()> own_heartbeat;
+    // A heartbeat that is not older than what is known of its sender.
+    std::function<void(const heartbeat&)> received;
+    // An incarnation is proved gone.
+    std::function<void(const incarnation_id&)> gone;
+};
+
+// Exchanges heartbeats with the other entry VMs, one thread for each, and brings records to those that are
+// behind. Ownership: owns its threads; borrows everything passed in. Thread safety: all methods but the
+// constructor and destructor may be called from any thread.
+class membership_agent final : public peer_handler {
+public:
+    membership_agent(const settings& configured, const incarnation_id& self, peer_client& peers,
+                     record_cache& records, const clock& time_source, metrics_registry& metrics,
+                     membership_events events);
+    ~membership_agent() override;
+
+    // Replaces the peer addresses found in the store; those of the settings stay.
+    void set_registered(const std::set<std::string>& addresses);
+
+    // Exchanges heartbeats with all peers at once, for example because a record changed.
+    void exchange_now();
+
+    // Ends the exchange; to be called before the objects that the events use are destroyed.
+    void stop();
+
+    heartbeat receive_heartbeat(const heartbeat& beat) override;
+    std::vector<record> records_after(std::uint64_t revision) override;
+    void receive_records(const std::vector<record>& records) override;
+
+    // The entry VMs heard lately, without this one. All zones if `zone` is empty.
+    std::vector<membership_view::known_entry> alive(const zone_name& zone) const;
+    bool is_gone(const entry_id& entry, const incarnation_id& incarnation) const;
+    // The last heartbeat of each entry VM that was heard lately.
+    std::vector<heartbeat> latest() const;
+    // Ids of the live entry VMs and of this one. All zones if `zone` is empty.
+    std::vector<entry_id> candidates(const zone_name& zone) const;
+
+private:
+    void exchange(const std::string& address);
+    void note_refused(const std::string& address);
+    bool accept(const heartbeat& beat);
+    void reconcile(const std::string& address, const heartbeat& own, const heartbeat& peer);
+
+    const settings& configured_;
+    const incarnation_id self_;
+    const std::string own_address_;
+    peer_client& peers_;
+    record_cache& records_;
+    const clock& clock_;
+    metrics_registry& metrics_;
+    const membership_events events_;
+    const absl::Duration silence_limit_;
+
+    mutable absl::Mutex mutex_;
+    membership_view view_ ABSL_GUARDED_BY(mutex_);
+    std::map<entry_id, heartbeat> latest_ ABSL_GUARDED_BY(mutex_);
+
+    absl::Mutex links_mutex_;
+    bool stopped_ ABSL_GUARDED_BY(links_mutex_) = false;
+    std::map<std::string, std::unique_ptr<periodic_thread>> links_ ABSL_GUARDED_BY(links_mutex_);
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/agent/service_table_agent.cpp
@@ -0,0 +1,99 @@
+#include "agent/service_table_agent.h"
+
+#include <set>
+#include <utility>
+
+namespace masticpass {
+
+namespace {
+
+constexpr absl::Duration update_interval = absl::Milliseconds(100);
+
+bool is_to_be_drained(const pool_vm& vm) {
+    return vm.phase != vm_phase::serving;
+}
+
+}  // namespace
+
+service_table_agent::service_table_agent(const settings& configured, const fleet_state& fleet,
+                                         const server_directory& directory, slot_ledger& ledger,
+                                         request_router& router)
+    : configured_(configured),
+      fleet_(fleet),
+      directory_(directory),
+      ledger_(ledger),
+      router_(router),
+      thread_(update_interval, [this] { update(); }) {}
+
+void service_table_agent::update() {
+    const auto pools = fleet_.pools();
+    ledger_.apply(fleet_.own_allotment());
+    set_servers(pools);
+    if (const auto configuration = fleet_.configuration()) {
+        router_.set_services(services(*configuration, pools));
+    }
+}
+
+void service_table_agent::set_servers(const std::map<pool_name, stored_pool_record>& pools) {
+    ledger_.set_addresses(directory_.addresses());
+    std::set<vm_id> blocked;
+    std::vector<drain_acknowledgement> draining;
+    for (const auto& [pool, stored] : pools) {
+        for (const auto& [id, vm] : stored.record.vms) {
+            if (vm.zone == configured_.entry.zone && is_to_be_drained(vm)) {
+                blocked.insert(id);
+                draining.push_back({id, vm.operation});
+            }
+        }
+    }
+    ledger_.set_blocked(blocked);
+    const absl::MutexLock lock(&mutex_);
+    draining_ = std::move(draining);
+}
+
+std::vector<drain_acknowledgement> service_table_agent::drained() const {
+    std::vector<drain_acknowledgement> result;
+    const absl::MutexLock lock(&mutex_);
+    for (const drain_acknowledgement& one : draining_) {
+        if (!one.operation.empty() && ledger_.is_drained(one.vm)) {
+            result.push_back(one);
+        }
+    }
+    return result;
+}
+
+std::vector<routed_service> service_table_agent::services(
+    const configuration_record& configuration, const std::map<pool_name, stored_pool_record>& pools) {
+    std::vector<routed_service> result;
+    for (const auto& [name, section] : configuration.configuration.services) {
+        routed_service service;
+        service.service = name;
+        service.urgent = section.urgent;
+        service.scheduler.estimator.short_limit = absl::Milliseconds(section.interactive_ms);
+        service.scheduler.largest_items = configured_.limits.queue_items;
+        service.scheduler.largest_bytes = configured_.limits.queue_bytes;
+        service.instances = instances(section.pool, pools);
+        result.push_back(std::move(service));
+    }
+    return result;
+}
+
+std::vector<instance_capacity> service_table_agent::instances(
+    const pool_name& pool, const std::map<pool_name, stored_pool_record>& pools) {
+    std::vector<instance_capacity> result;
+    const auto stored = pools.find(pool);
+    if (stored == pools.end()) {
+        return result;
+    }
+    for (const auto& [id, vm] : stored->second.record.vms) {
+        const auto server = directory_.find(id);
+        if (!server || server->zone != configured_.entry.zone) {
+            continue;
+        }
+        const bool accepts = vm.phase == vm_phase::serving && server->accepts_work() && server->role == pool;
+        result.push_back({id, ledger_.usable_slots(id), accepts});
+    }
+    return result;
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/agent/service_table_agent.h
@@ -0,0 +1,53 @@
+#ifndef MASTICPASS_AGENT_SERVICE_TABLE_AGENT_H
+#define MASTICPASS_AGENT_SERVICE_TABLE_AGENT_H
+
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "agent/fleet_state.h"
+#include "agent/periodic_thread.h"
+#include "peer/heartbeat.h"
+#include "routing/request_router.h"
+#include "routing/server_directory.h"
+#include "routing/slot_ledger.h"
+#include "settings/settings.h"
+
+namespace masticpass {
+
+// Keeps the router's services and the ledger up to date with the configuration, the pool records, the VM list
+// and the allotment, and says which VMs are drained here. Ownership: owns one thread; borrows everything
+// passed in. Thread safety: all methods may be called from any thread.
+class service_table_agent {
+public:
+    service_table_agent(const settings& configured, const fleet_state& fleet,
+                        const server_directory& directory, slot_ledger& ledger, request_router& router);
+
+    // Applies a change at once.
+    void update_now() { thread_.wake(); }
+
+    // The operations whose VMs of this zone have no request of this entry VM in flight and get none.
+    std::vector<drain_acknowledgement> drained() const;
+
+private:
+    void update();
+    void set_servers(const std::map<pool_name, stored_pool_record>& pools);
+    std::vector<routed_service> services(const configuration_record& configuration,
+                                         const std::map<pool_name, stored_pool_record>& pools);
+    std::vector<instance_capacity> instances(const pool_name& pool,
+                                             const std::map<pool_name, stored_pool_record>& pools);
+
+    const settings& configured_;
+    const fleet_state& fleet_;
+    const server_directory& directory_;
+    slot_ledger& ledger_;
+    request_router& router_;
+    mutable absl::Mutex mutex_;
+    std::vector<drain_acknowledgement> draining_ ABSL_GUARDED_BY(mutex_);
+    periodic_thread thread_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/application/entry_fleet_service.h
@@ -0,0 +1,54 @@
+#ifndef MASTICPASS_APPLICATION_ENTRY_FLEET_SERVICE_H
+#define MASTICPASS_APPLICATION_ENTRY_FLEET_SERVICE_H
+
+#include <functional>
+#include <stop_token>
+
+#include "agent/configuration_agent.h"
+#include "agent/fleet_observer.h"
+#include "agent/fleet_state.h"
+#include "agent/maintenance_agent.h"
+#include "agent/membership_agent.h"
+#include "operations/fleet_service.h"
+
+namespace masticpass {
+
+// Answers operators from what this entry VM knows, and brings their changes into the store.
+// Ownership: borrows everything passed in.
+// Thread safety: all methods may be called from any thread.
+class entry_fleet_service final : public fleet_service {
+public:
+    struct parts {
+        const settings& configured;
+        incarnation_id self;
+        const clock& time_source;
+        const fleet_state& fleet;
+        configuration_agent& changes;
+        maintenance_agent& maintenance;
+        membership_agent& membership;
+        // This entry VM's own heartbeat.
+        std::function<heartbeat()> own_heartbeat;
+    };
+
+    explicit entry_fleet_service(parts used) : parts_(std::move(used)) {}
+
+    // Ends waiting proposals, for a planned stop.
+    void stop() { stop_.request_stop(); }
+
+    service_status status() override;
+    operations_result<configuration_view> show_configuration() override;
+    operations_result<change_result> propose_change(const configuration_change& change) override;
+    operations_result<pool_view> show_pool(const pool_name& pool) override;
+    std::vector<entry_view> list_entries() override;
+    operations_result<wave_view> show_wave(const wave_name& wave) override;
+    operations_result<drain_result> drain_vm(const vm_id& vm, const std::string& author,
+                                             const operation_id& operation) override;
+
+private:
+    const parts parts_;
+    std::stop_source stop_;
+};
+
+}  // namespace masticpass
+
+#endif
--- a/source/application/main.cpp
+++ b/source/application/main.cpp
@@ -1,7 +1,9 @@
 #include <iostream>
 
 #include "application/command_line.h"
+#include "application/entry_vm.h"
 
 int main(int argc, char** argv) {
-    return masticpass::run_command_line(argc, argv, {.out = std::cout, .err = std::cerr, .serve = nullptr});
+    return masticpass::run_command_line(argc, argv,
+                                        {.out = std::cout, .err = std::cerr, .serve = masticpass::run_entry_vm});
 }
--- a/source/decision/configuration/configuration_record.cpp
+++ b/source/decision/configuration/configuration_record.cpp
@@ -159,17 +159,17 @@
     return record;
 }
 
-write_outcome outcome_of_write(const configuration_record& read, const configuration_record& written) {
+change_outcome outcome_of_write(const configuration_record& read, const configuration_record& written) {
     if (read.revision < written.revision) {
-        return write_outcome::unknown;
+        return change_outcome::unknown;
     }
     const auto found =
         std::find_if(read.history.begin(), read.history.end(),
                      [&](const accepted_change& change) { return change.revision == written.revision; });
     if (found == read.history.end()) {
-        return write_outcome::unknown;
+        return change_outcome::unknown;
     }
-    return found->id == written.history.back().id ? write_outcome::applied : write_outcome::not_applied;
+    return found->id == written.history.back().id ? change_outcome::applied : change_outcome::not_applied;
 }
 
 }  // namespace masticpass
--- a/source/decision/configuration/configuration_record.h
+++ b/source/decision/configuration/configuration_record.h
@@ -65,7 +65,7 @@
 // that do not fit the revision are refused.
 tl::expected<configuration_record, configuration_problems> parse_configuration_record(std::string_view text);
 
-enum class write_outcome {
+enum class change_outcome {
     applied,
     // The store has another change at that revision, so the write can take effect neither now nor later.
     not_applied,
@@ -77,7 +77,7 @@
 
 // What became of a write whose response was lost, judged by a record read since. `written` is the record of
 // that write; its revision must be at least 1.
-write_outcome outcome_of_write(const configuration_record& read, const configuration_record& written);
+change_outcome outcome_of_write(const configuration_record& read, const configuration_record& written);
 
 }  // namespace masticpass
 
--- a/source/decision/serving/allotment_record.h
+++ b/source/decision/serving/allotment_record.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -22,6 +23,8 @@
     incarnation_id incarnation;
     // The first epoch with this incarnation; before it, the incarnation used no slot.
     std::uint64_t joined = 0;
+    // Peer address of the incarnation, at which others can check that its process is gone.
+    std::string address = {};
 
     friend bool operator==(const allotment_member&, const allotment_member&) = default;
 };
