--- /dev/null
+++ b/source/agent/record_writer.cpp
@@ -0,0 +1,100 @@
+#include "agent/record_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticpass {
+
+record_writer::record_writer(configuration_store& store, retry_counter& retries, const clock& time,
+                             absl::BitGenRef random, const record_writer_options& options)
+    : store_(store), retries_(retries), clock_(time), random_(random), options_(options) {}
+
+write_result record_writer::write(const record_change& change, const std::stop_token& stop) {
+    const absl::Time deadline = clock_.now() + options_.limit;
+    jittered_backoff backoff(options_.backoff, random_);
+    write_state state{.change = change};
+    while (true) {
+        if (auto result = attempt(state)) {
+            return *std::move(result);
+        }
+        const absl::Duration delay = backoff.next();
+        const bool may_continue = clock_.now() + delay < deadline && wait_unless_stopped(delay, stop);
+        if (!may_continue) {
+            return {.outcome = state.pending ? write_outcome::unknown : write_outcome::not_applied,
+                    .message = stop.stop_requested() ? "stopped" : "time limit passed"};
+        }
+    }
+}
+
+std::optional<write_result> record_writer::attempt(write_state& state) {
+    const auto read = store_.read(state.change.key);
+    if (!read && read.error().kind != store_error_kind::not_found) {
+        retries_.count(retry_reason::store_unavailable);
+        return std::nullopt;
+    }
+    const store_entry* present = read ? &*read : nullptr;
+    const store_revision revision = present != nullptr ? present->revision : 0;
+    if (present != nullptr && revision < state.lowest_revision) {
+        retries_.count(retry_reason::old_data);
+        return std::nullopt;
+    }
+    state.lowest_revision = std::max(state.lowest_revision, revision);
+    if (state.pending && revision == state.pending->expected_revision) {
+        // At most one of the two writes can take effect, since both expect the same revision.
+        return send(state, revision, state.pending->value);
+    }
+    if (state.pending) {
+        if (auto result = settle_pending(state, present)) {
+            return result;
+        }
+    }
+    auto value = state.change.propose(present);
+    if (!value) {
+        return write_result{.outcome = write_outcome::conflict, .message = std::move(value.error())};
+    }
+    return send(state, revision, *std::move(value));
+}
+
+// Decides a pending write after the record got another revision, so that it can no longer take effect.
+std::optional<write_result> record_writer::settle_pending(write_state& state, const store_entry* present) {
+    const own_write mark = present != nullptr ? state.change.recognise(*present) : own_write::undetermined;
+    if (mark == own_write::found) {
+        return write_result{.outcome = write_outcome::applied, .revision = present->revision};
+    }
+    if (mark == own_write::undetermined) {
+        return write_result{.outcome = write_outcome::unknown,
+                            .message = "the record was replaced after a write with an unknown outcome"};
+    }
+    state.pending.reset();
+    return std::nullopt;
+}
+
+std::optional<write_result> record_writer::send(write_state& state, store_revision expected_revision,
+                                                std::string value) {
+    const auto written =
+        store_.compare_and_swap(state.change.key, expected_revision, value, state.change.lease);
+    if (written) {
+        return write_result{.outcome = write_outcome::applied, .revision = *written};
+    }
+    switch (written.error().kind) {
+        case store_error_kind::conflict:
+            retries_.count(retry_reason::conflict);
+            // The record has another revision, so a further read of this one is old data.
+            state.lowest_revision = std::max(state.lowest_revision, expected_revision + 1);
+            return std::nullopt;
+        case store_error_kind::unavailable:
+            retries_.count(retry_reason::store_unavailable);
+            return std::nullopt;
+        case store_error_kind::unknown_outcome:
+            retries_.count(retry_reason::unknown_outcome);
+            state.pending = pending_write{.expected_revision = expected_revision, .value = std::move(value)};
+            return std::nullopt;
+        case store_error_kind::not_found:
+        case store_error_kind::too_large:
+            break;
+    }
+    return write_result{.outcome = state.pending ? write_outcome::unknown : write_outcome::not_applied,
+                        .message = written.error().message};
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/source/agent/record_writer.h
@@ -0,0 +1,100 @@
+#ifndef MASTICPASS_AGENT_RECORD_WRITER_H
+#define MASTICPASS_AGENT_RECORD_WRITER_H
+
+#include <functional>
+#include <optional>
+#include <stop_token>
+#include <string>
+#include <string_view>
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+#include <tl/expected.hpp>
+
+#include "agent/backoff.h"
+#include "agent/retry_counter.h"
+#include "common/clock.h"
+#include "platform/configuration_store.h"
+
+namespace masticpass {
+
+enum class write_outcome {
+    applied,      // The write took effect once.
+    conflict,     // The change does not apply to the present record; it had no effect.
+    not_applied,  // The change had no effect, for example because the store was down.
+    unknown,      // The change may have taken effect.
+};
+
+struct [[nodiscard]] write_result {
+    write_outcome outcome = write_outcome::unknown;
+    // Revision of a record that contains the change, if it was applied.
+    store_revision revision = 0;
+    std::string message = std::string();
+};
+
+// What a record says about an earlier write of the change.
+enum class own_write {
+    found,         // The record contains the change: it names its change id and writer.
+    absent,        // The record's history is complete and does not contain the change.
+    undetermined,  // A later write may have replaced the mark of the change.
+};
+
+// One change of one record. The functions are called from the thread that calls `write`.
+struct record_change {
+    std::string key;
+    // Computes the new value, which carries the change id and the writer, from the present record (null if
+    // there is none). An error is the reason why the change does not apply; it ends the write as a conflict.
+    std::function<tl::expected<std::string, std::string>(const store_entry* present)> propose;
+    // Looks for the change id and the writer in the present record. Called after an unknown outcome once the
+    // record no longer has the revision that the write expected.
+    std::function<own_write(const store_entry& present)> recognise;
+    // The key is bound to this lease unless it is `none`.
+    lease_id lease = lease_id::none;
+};
+
+struct record_writer_options {
+    backoff_options backoff = {};
+    // Time for a whole write with all its tries. The last call may exceed it by its own limit.
+    absl::Duration limit = absl::Seconds(10);
+};
+
+// Changes records by compare-and-swap. After an unknown outcome it reads the record and repeats the write
+// only while the record still has the revision that the write expected, so the change takes effect at most
+// once. Thread safety: none; each thread has its own. The arguments of the constructor must outlive the
+// object.
+class record_writer {
+public:
+    record_writer(configuration_store& store, retry_counter& retries, const clock& time,
+                  absl::BitGenRef random, const record_writer_options& options = {});
+
+    // Blocks until the outcome is known, the limit passes, or `stop` is requested.
+    write_result write(const record_change& change, const std::stop_token& stop);
+
+private:
+    // A write that was sent and whose outcome is unknown.
+    struct pending_write {
+        store_revision expected_revision = 0;
+        std::string value;
+    };
+    struct write_state {
+        const record_change& change;
+        std::optional<pending_write> pending = std::nullopt;
+        // The record is known to have a higher revision than this; reads of lower ones are old data.
+        store_revision lowest_revision = 0;
+    };
+
+    // One try. Returns nullopt if another one is needed.
+    std::optional<write_result> attempt(write_state& state);
+    std::optional<write_result> settle_pending(write_state& state, const store_entry* present);
+    std::optional<write_result> send(write_state& state, store_revision expected_revision, std::string value);
+
+    configuration_store& store_;
+    retry_counter& retries_;
+    const clock& clock_;
+    absl::BitGenRef random_;
+    const record_writer_options options_;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/source/agent/registration_agent.cpp
@@ -0,0 +1,107 @@
+#include "agent/registration_agent.h"
+
+#include <utility>
+
+#include <absl/random/uniform_real_distribution.h>
+
+#include "decision/membership/incarnation.h"
+#include "telemetry/log.h"
+
+namespace masticpass {
+
+registration_agent::registration_agent(configuration_store& store, retry_counter& retries, const clock& time,
+                                       absl::BitGenRef random, entry_registration registration,
+                                       const registration_options& options)
+    : store_(store),
+      retries_(retries),
+      random_(random),
+      registration_(std::move(registration)),
+      options_(options),
+      writer_(store, retries, time, random, {.backoff = options.backoff, .limit = options.time_to_live}) {}
+
+registration_agent::~registration_agent() = default;
+
+void registration_agent::start() {
+    thread_ = std::jthread([this](const std::stop_token& stop) { run(stop); });
+}
+
+void registration_agent::run(const std::stop_token& stop) {
+    jittered_backoff backoff(options_.backoff, random_);
+    while (!stop.stop_requested()) {
+        const bool is_done = is_registered_ ? renew_lease() : register_entry(stop);
+        if (is_done) {
+            backoff.reset();
+        }
+        wait_unless_stopped(is_done ? renewal_delay() : backoff.next(), stop);
+    }
+}
+
+absl::Duration registration_agent::renewal_delay() {
+    absl::uniform_real_distribution<double> fraction(0.9, 1.0);
+    return options_.renewal_interval * fraction(random_);
+}
+
+bool registration_agent::register_entry(const std::stop_token& stop) {
+    if (lease_ == lease_id::none && !grant_lease()) {
+        return false;
+    }
+    const write_result result = writer_.write(registration_change(), stop);
+    is_registered_ = result.outcome == write_outcome::applied;
+    if (result.outcome == write_outcome::conflict) {
+        retries_.count(retry_reason::superseded);
+        log_event(log_severity::warning, "registration_superseded",
+                  {{"entry", registration_.entry.value()}, {"reason", result.message}});
+    }
+    if (!is_registered_) {
+        // The lease may have expired meanwhile, and an unused one expires by itself.
+        lease_ = lease_id::none;
+    }
+    return is_registered_;
+}
+
+bool registration_agent::grant_lease() {
+    const auto lease = store_.grant_lease(options_.time_to_live);
+    if (!lease) {
+        retries_.count(to_retry_reason(lease.error().kind));
+        return false;
+    }
+    lease_ = *lease;
+    return true;
+}
+
+bool registration_agent::renew_lease() {
+    const auto renewed = store_.renew_lease(lease_);
+    if (renewed) {
+        return true;
+    }
+    if (renewed.error().kind == store_error_kind::not_found) {
+        retries_.count(retry_reason::lease_lost);
+        log_event(log_severity::warning, "registration_lease_lost", {{"entry", registration_.entry.value()}});
+        lease_ = lease_id::none;
+        is_registered_ = false;
+    } else {
+        retries_.count(to_retry_reason(renewed.error().kind));
+    }
+    return false;
+}
+
+record_change registration_agent::registration_change() const {
+    const auto propose = [this](const store_entry* present) -> tl::expected<std::string, std::string> {
+        const auto registered = present != nullptr
+                                    ? parse_registration(present->key, present->value)
+                                    : tl::expected<entry_registration, std::string>(tl::make_unexpected(""));
+        if (registered && is_newer(registered->incarnation, registration_.incarnation)) {
+            return tl::make_unexpected("registered by incarnation " + registered->incarnation.value());
+        }
+        return registration_value(registration_);
+    };
+    // The lease is the mark of the write: it is granted for this registration alone. A registration that
+    // another incarnation replaced may be written again, since `propose` decides which incarnation stands.
+    const auto recognise = [lease = lease_](const store_entry& present) {
+        return present.lease == lease ? own_write::found : own_write::absent;
+    };
+    return {
+        .key = registration_key(registration_), .propose = propose, .recognise = recognise, .lease = lease_};
+}
+
+}  // namespace masticpass
