--- /dev/null
+++ b/tests/platform/platform_fixture.h
@@ -0,0 +1,45 @@
+#ifndef MASTICPASS_PLATFORM_PLATFORM_FIXTURE_H
+#define MASTICPASS_PLATFORM_PLATFORM_FIXTURE_H
+
+#include <memory>
+
+#include <doctest/doctest.h>
+
+#include "platform/etcd_messages.h"
+#include "platform/http_connection_settings.h"
+#include "standin/platform_server.h"
+
+namespace masticpass {
+
+// Runs the stand-in in the process of the test.
+struct platform_fixture {
+    static constexpr platform_limits short_limits = {.connect_limit = absl::Milliseconds(500),
+                                                     .call_limit = absl::Milliseconds(300)};
+
+    platform_fixture() {
+        auto created = standin::platform_server::create(
+            {.vms = {make_vm("v1", "z1"), make_vm("v2", "z2")}, .reboot_time = absl::Milliseconds(20)});
+        REQUIRE(created.has_value());
+        server = *std::move(created);
+    }
+
+    static listed_vm make_vm(const char* vm, const char* zone) {
+        return {.vm = vm_id(vm),
+                .zone = zone_name(zone),
+                .rack = rack_name("r1"),
+                .address = "127.0.0.1:1",
+                .boot = boot_id(),
+                .pool = pool_name("p")};
+    }
+
+    void set_faults(const char* json) const {
+        const auto changed = server->change_faults(*etcd::parse_object(json));
+        REQUIRE(changed.has_value());
+    }
+
+    std::unique_ptr<standin::platform_server> server;
+};
+
+}  // namespace masticpass
+
+#endif
--- /dev/null
+++ b/tests/platform/vm_adapters_test.cpp
@@ -0,0 +1,93 @@
+#include <doctest/doctest.h>
+
+#include "fakes/wait_until.h"
+#include "platform/http_vm_control.h"
+#include "platform/http_vm_list.h"
+#include "platform/platform_fixture.h"
+
+namespace masticpass {
+
+namespace {
+
+struct vm_fixture : platform_fixture {
+    http_vm_list vms{server->address(), short_limits};
+    http_vm_control control{server->address(), short_limits};
+
+    listed_vm first_vm() {
+        const auto listing = vms.list(zone_name("z1"), std::nullopt);
+        REQUIRE(listing.has_value());
+        REQUIRE(listing->has_value());
+        return (*listing)->vms.at(0);
+    }
+    reboot_request request(const boot_id& boot) const {
+        return {
+            .vm = vm_id("v1"), .operation = operation_id("o"), .expected_boot = boot, .pool = pool_name("q")};
+    }
+};
+
+}  // namespace
+
+// Guards against a list that mixes zones or is transferred although nothing changed.
+TEST_CASE_FIXTURE(vm_fixture, "the VM list is read by zone and only when it changed") {
+    const auto all = vms.list(zone_name(), std::nullopt);
+    REQUIRE(all->value().vms.size() == 2);
+    const auto listing = vms.list(zone_name("z2"), std::nullopt);
+    REQUIRE(listing->value().vms.size() == 1);
+    const listed_vm& vm = listing->value().vms[0];
+    CHECK(vm.vm == vm_id("v2"));
+    CHECK(vm.rack == rack_name("r1"));
+    CHECK(vm.pool == pool_name("p"));
+    CHECK(vm.state == vm_state::live);
+    CHECK_FALSE(vm.boot.empty());
+    CHECK_FALSE(vms.list(zone_name("z2"), (*listing)->index)->has_value());
+    server->fleet().set_state(vm_id("v2"), vm_state::terminated);
+    CHECK(vms.list(zone_name("z2"), (*listing)->index)->value().vms[0].state == vm_state::terminated);
+    set_faults(R"({"control_down": true})");
+    CHECK_FALSE(vms.list(zone_name("z2"), std::nullopt).has_value());
+}
+
+// Guards against a stand-in whose list is always up to date, which would hide faults of its readers.
+TEST_CASE_FIXTURE(vm_fixture, "the VM list lags as set") {
+    set_faults(R"({"vm_list_lag_ms": 60000})");
+    server->fleet().set_state(vm_id("v1"), vm_state::leaving);
+    CHECK(first_vm().state == vm_state::live);
+    set_faults(R"({"vm_list_lag_ms": 0})");
+    CHECK(first_vm().state == vm_state::leaving);
+}
+
+// Guards against a late or repeated reboot call that ends a newer run.
+TEST_CASE_FIXTURE(vm_fixture, "a reboot is conditional on the boot identity") {
+    const boot_id boot = first_vm().boot;
+    const auto refused = control.reboot(request(boot_id("other")));
+    CHECK(refused.error().kind == reboot_error_kind::boot_changed);
+    CHECK(refused.error().present_boot == boot);
+    CHECK(control.reboot(request(boot)).has_value());
+    REQUIRE(fakes::wait_until([&] { return first_vm().boot != boot; }));
+    CHECK(first_vm().pool == pool_name("q"));
+    CHECK(first_vm().state == vm_state::live);
+    const auto late = control.reboot(request(boot));
+    CHECK(late.error().kind == reboot_error_kind::boot_changed);
+    CHECK(late.error().present_boot == first_vm().boot);
+}
+
+// Guards against a reboot that is reported as not started although it may have been.
+TEST_CASE_FIXTURE(vm_fixture, "errors say whether a reboot may have started") {
+    const boot_id boot = first_vm().boot;
+    set_faults(R"({"lose_reboot_responses": 1})");
+    CHECK(control.reboot(request(boot)).error().kind == reboot_error_kind::unknown_outcome);
+    CHECK(fakes::wait_until([&] { return first_vm().boot != boot; }));
+    server->fleet().set_state(vm_id("v1"), vm_state::terminated);
+    CHECK(control.reboot(request(boot)).error().kind == reboot_error_kind::unknown_vm);
+    http_vm_control refused("127.0.0.1:1", short_limits);
+    CHECK(refused.reboot(request(boot)).error().kind == reboot_error_kind::unavailable);
+}
+
+// Guards against a VM that keeps its boot identity through a crash.
+TEST_CASE_FIXTURE(vm_fixture, "a crashed VM comes back with a new boot identity") {
+    const boot_id boot = first_vm().boot;
+    CHECK(server->fleet().crash(vm_id("v1")));
+    CHECK(fakes::wait_until([&] { return first_vm().boot != boot; }));
+    CHECK(first_vm().pool == pool_name("p"));
+}
+
+}  // namespace masticpass
