Report the order that Abseil's mutexes impose to the thread sanitizer

The installed Abseil is not built for the sanitizer, which reported races between accesses under one absl::Mutex. Tests that use such a mutex could not pass under it.

--- /dev/null
+++ b/tests/fakes/thread_sanitizer_mutex.cpp
@@ -0,0 +1,142 @@
+// The installed Abseil library is not built for the thread sanitizer, which therefore sees no order between
+// threads that synchronize through absl::Mutex and reports races that are none. The functions here replace
+// those of the library in a test program, report the order, and call the library.
+//
+// Abseil may evaluate a condition in any thread that holds the mutex. Which mutex that is cannot be seen in
+// Condition::Eval, so the order of conditions is reported through two variables that all mutexes share. This
+// can hide a race between mutexes that are used with conditions, but never adds a report.
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <dlfcn.h>
+#include <sanitizer/tsan_interface.h>
+
+namespace {
+
+char order_to_condition = 0;
+char order_from_condition = 0;
+
+// The library's function with this mangled name, in which "absl" stands for the nested namespaces.
+template <typename Function>
+Function library_function(const std::string& prefix, const std::string& name) {
+    const std::string mangled = prefix + "4absl7debian3" + name;
+    void* const found = dlsym(RTLD_NEXT, mangled.c_str());
+    if (found == nullptr) {
+        std::cerr << "the Abseil library has no function " << mangled << '\n';
+        std::abort();
+    }
+    return reinterpret_cast<Function>(found);
+}
+
+void before_unlock(void* mutex) {
+    __tsan_release(mutex);
+    __tsan_release(&order_to_condition);
+}
+
+void after_lock(void* mutex) {
+    __tsan_acquire(mutex);
+    __tsan_acquire(&order_from_condition);
+}
+
+using mutex_function = void (*)(absl::Mutex*);
+
+}  // namespace
+
+namespace absl {
+ABSL_NAMESPACE_BEGIN
+
+void Mutex::Lock() {
+    static const auto lock = library_function<mutex_function>("_ZN", "5Mutex4LockEv");
+    lock(this);
+    after_lock(this);
+}
+
+void Mutex::Unlock() {
+    static const auto unlock = library_function<mutex_function>("_ZN", "5Mutex6UnlockEv");
+    before_unlock(this);
+    unlock(this);
+}
+
+bool Mutex::TryLock() {
+    static const auto try_lock = library_function<bool (*)(Mutex*)>("_ZN", "5Mutex7TryLockEv");
+    const bool is_locked = try_lock(this);
+    if (is_locked) {
+        after_lock(this);
+    }
+    return is_locked;
+}
+
+void Mutex::ReaderLock() {
+    static const auto lock = library_function<mutex_function>("_ZN", "5Mutex10ReaderLockEv");
+    lock(this);
+    after_lock(this);
+}
+
+void Mutex::ReaderUnlock() {
+    static const auto unlock = library_function<mutex_function>("_ZN", "5Mutex12ReaderUnlockEv");
+    before_unlock(this);
+    unlock(this);
+}
+
+void Mutex::Await(const Condition& condition) {
+    static const auto await =
+        library_function<void (*)(Mutex*, const Condition&)>("_ZN", "5Mutex5AwaitERKNS0_9ConditionE");
+    before_unlock(this);
+    await(this, condition);
+    after_lock(this);
+}
+
+bool Mutex::AwaitWithTimeout(const Condition& condition, Duration timeout) {
+    static const auto await = library_function<bool (*)(Mutex*, const Condition&, Duration)>(
+        "_ZN", "5Mutex16AwaitWithTimeoutERKNS0_9ConditionENS0_8DurationE");
+    before_unlock(this);
+    const bool is_true = await(this, condition, timeout);
+    after_lock(this);
+    return is_true;
+}
+
+bool Mutex::AwaitWithDeadline(const Condition& condition, Time deadline) {
+    static const auto await = library_function<bool (*)(Mutex*, const Condition&, Time)>(
+        "_ZN", "5Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE");
+    before_unlock(this);
+    const bool is_true = await(this, condition, deadline);
+    after_lock(this);
+    return is_true;
+}
+
+bool Condition::Eval() const {
+    static const auto eval = library_function<bool (*)(const Condition*)>("_ZNK", "9Condition4EvalEv");
+    __tsan_acquire(&order_to_condition);
+    const bool is_true = eval(this);
+    __tsan_release(&order_from_condition);
+    return is_true;
+}
+
+void Notification::Notify() {
+    static const auto notify = library_function<void (*)(Notification*)>("_ZN", "12Notification6NotifyEv");
+    __tsan_release(this);
+    notify(this);
+}
+
+bool Notification::WaitForNotificationWithTimeout(Duration timeout) const {
+    static const auto wait = library_function<bool (*)(const Notification*, Duration)>(
+        "_ZNK", "12Notification30WaitForNotificationWithTimeoutENS0_8DurationE");
+    const bool is_notified = wait(this, timeout);
+    if (is_notified) {
+        __tsan_acquire(const_cast<Notification*>(this));
+    }
+    return is_notified;
+}
+
+void Notification::WaitForNotification() const {
+    static const auto wait =
+        library_function<void (*)(const Notification*)>("_ZNK", "12Notification19WaitForNotificationEv");
+    wait(this);
+    __tsan_acquire(const_cast<Notification*>(this));
+}
+
+ABSL_NAMESPACE_END
+}  // namespace absl
