Order requests by discounted worth and refuse them early by price

Cause: the order by worth per slot-second alone ran valuable work early and let work with a nearer deadline expire that could have gone before it; the early refusal counted all work before a request, although much of it expires itself; the full queue dropped long work that could run after the burst.

--- a/measure/support/serving_simulation.cpp
+++ b/measure/support/serving_simulation.cpp
@@ -25,16 +25,17 @@
     });
 }
 
+constexpr double never = std::numeric_limits<double>::infinity();
+
 class simulation {
 public:
     simulation(const serving_trace& trace, serving_policy& policy)
         : trace_(trace), policy_(policy), started_(trace.jobs.size(), 0) {}
 
     simulation_result run() {
-        constexpr double never = std::numeric_limits<double>::infinity();
         while (true) {
-            const double arrival = arrived_ < trace_.jobs.size() ? trace_.jobs[arrived_].arrival : never;
-            const double end = ends_.empty() ? never : ends_.top().time;
+            const double arrival = next_arrival();
+            const double end = next_end();
             const double now = std::min({arrival, end, wake_up_});
             if (now == never) {
                 return std::move(result_);
@@ -53,6 +54,20 @@
     }
 
 private:
+    double next_arrival() const {
+        if (arrived_ < trace_.jobs.size()) {
+            return trace_.jobs[arrived_].arrival;
+        }
+        return never;
+    }
+
+    double next_end() const {
+        if (ends_.empty()) {
+            return never;
+        }
+        return ends_.top().time;
+    }
+
     void start(const policy_choice& choice, double now) {
         const traced_job& job = trace_.jobs[choice.job];
         ++result_.attempts;
@@ -94,7 +109,7 @@
     std::vector<int> started_;
     std::priority_queue<end_event, std::vector<end_event>, std::greater<>> ends_;
     std::size_t arrived_ = 0;
-    double wake_up_ = std::numeric_limits<double>::infinity();
+    double wake_up_ = never;
     simulation_result result_;
 };
 
--- a/measure/support/table.cpp
+++ b/measure/support/table.cpp
@@ -35,7 +35,8 @@
     if (values.empty()) {
         return 0.0;
     }
-    const auto index = std::min(values.size() - 1, static_cast<std::size_t>(share * values.size()));
+    const auto index =
+        std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())));
     std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
     return values[index];
 }
--- a/source/decision/serving/request_queue.cpp
+++ b/source/decision/serving/request_queue.cpp
@@ -7,21 +7,41 @@
 namespace masticpass {
 namespace {
 
-// Keeps the worth per slot-second finite for kinds that take almost no time.
+// Keeps the worth per slot-second finite for kinds that take almost no time or are worth nothing.
 constexpr double least_seconds = 0.001;
-// Two buckets per factor of two, from 2^-32 to 2^32.
-constexpr double buckets_per_octave = 2.0;
-constexpr double lowest_octave = -32.0;
+constexpr double least_worth = 1e-9;
+// The discount per time left. A longer time serves valuable work too early and lets other work expire that
+// could have been served before it; a shorter one comes close to plain order by deadline.
+constexpr double discount_seconds = 2.0;
+// About the length of a burst; work that can wait longer is likely to run after it.
+constexpr double burst_seconds = 10.0;
 
 }  // namespace
 
-double queued_request::density() const {
-    return description.worth / std::max(least_seconds, absl::ToDoubleSeconds(estimate.expected));
+double queued_request::log_density() const {
+    const double seconds = std::max(least_seconds, absl::ToDoubleSeconds(estimate.expected));
+    return std::log(std::max(least_worth, description.worth) / seconds);
 }
 
-bool request_queue::value_order::operator()(const queued_request* left, const queued_request* right) const {
-    return std::make_tuple(!left->description.urgent, -left->density(), left->sequence) <
-           std::make_tuple(!right->description.urgent, -right->density(), right->sequence);
+double queued_request::claim() const {
+    return log_density() + absl::ToDoubleSeconds(latest_start() - absl::UnixEpoch()) / burst_seconds;
+}
+
+double queued_request::rank() const {
+    return absl::ToDoubleSeconds(latest_start() - absl::UnixEpoch()) / discount_seconds - log_density();
+}
+
+double queued_request::value(absl::Time now) const {
+    return absl::ToDoubleSeconds(now - absl::UnixEpoch()) / discount_seconds - rank();
+}
+
+bool request_queue::claim_order::operator()(const queued_request* left, const queued_request* right) const {
+    return std::make_tuple(!left->description.urgent, -left->claim(), left->sequence) <
+           std::make_tuple(!right->description.urgent, -right->claim(), right->sequence);
+}
+
+bool request_queue::ranked::operator<(const ranked& other) const {
+    return std::tie(not_urgent, rank, sequence) < std::tie(other.not_urgent, other.rank, other.sequence);
 }
 
 bool request_queue::start_order::operator()(const queued_request* left, const queued_request* right) const {
@@ -31,14 +51,14 @@
 
 const queued_request& request_queue::insert(queued_request request) {
     auto owned = std::make_unique<queued_request>(std::move(request));
-    const queued_request* const entry = owned.get();
-    requests_.emplace(entry->description.id, std::move(owned));
-    by_value_[class_index(entry->estimate.size)].insert(entry);
-    by_start_.insert(entry);
-    work_[density_bucket(entry->description.urgent, entry->density())] +=
-        absl::ToInt64Microseconds(entry->estimate.expected);
-    bytes_ += entry->description.bytes;
-    return *entry;
+    const queued_request& entry = *owned;
+    requests_.emplace(entry.description.id, std::move(owned));
+    by_rank_[class_index(entry.estimate.size)].insert(place_of(entry));
+    by_start_.insert(&entry);
+    by_claim_.insert(&entry);
+    work_ += entry.estimate.expected;
+    bytes_ += entry.description.bytes;
+    return entry;
 }
 
 const queued_request* request_queue::find(const request_id& id) const {
@@ -50,54 +70,40 @@
     const auto found = requests_.find(id);
     const std::unique_ptr<queued_request> owned = std::move(found->second);
     requests_.erase(found);
-    by_value_[class_index(owned->estimate.size)].erase(owned.get());
+    by_rank_[class_index(owned->estimate.size)].erase(place_of(*owned));
     by_start_.erase(owned.get());
-    work_[density_bucket(owned->description.urgent, owned->density())] -=
-        absl::ToInt64Microseconds(owned->estimate.expected);
+    by_claim_.erase(owned.get());
+    work_ -= owned->estimate.expected;
     bytes_ -= owned->description.bytes;
     return std::move(*owned);
 }
 
 const queued_request* request_queue::first(size_class size) const {
-    const auto& ordered = by_value_[class_index(size)];
-    return ordered.empty() ? nullptr : *ordered.begin();
+    const auto& ordered = by_rank_[class_index(size)];
+    return ordered.empty() ? nullptr : ordered.begin()->request;
 }
 
-const queued_request* request_queue::last() const {
-    const queued_request* lowest = nullptr;
-    for (const auto& ordered : by_value_) {
-        if (ordered.empty() || (*ordered.rbegin())->description.urgent) {
-            continue;
-        }
-        if (lowest == nullptr || value_order()(lowest, *ordered.rbegin())) {
-            lowest = *ordered.rbegin();
-        }
-    }
-    return lowest;
+const queued_request* request_queue::least_claim() const {
+    return by_claim_.empty() || (*by_claim_.rbegin())->description.urgent ? nullptr : *by_claim_.rbegin();
 }
 
 const queued_request* request_queue::first_to_expire() const {
     return by_start_.empty() ? nullptr : *by_start_.begin();
 }
 
-absl::Duration request_queue::work_before(bool urgent, double density) const {
-    std::int64_t microseconds = 0;
-    for (std::size_t bucket = density_bucket(urgent, density); bucket < density_buckets; ++bucket) {
-        microseconds += work_[bucket];
-    }
-    return absl::Microseconds(microseconds);
-}
-
-std::size_t request_queue::density_bucket(bool urgent, double density) {
-    constexpr std::size_t highest = density_buckets - 1;
-    if (urgent) {
-        return highest;
-    }
-    if (!(density > 0.0)) {
-        return 0;
-    }
-    const double position = (std::log2(density) - lowest_octave) * buckets_per_octave;
-    return static_cast<std::size_t>(std::clamp(position, 0.0, static_cast<double>(highest - 1)));
+bool request_queue::goes_before(const queued_request& left, const queued_request& right) {
+    return place_of(left) < place_of(right);
+}
+
+bool request_queue::has_more_claim(const queued_request& left, const queued_request& right) {
+    return claim_order()(&left, &right);
+}
+
+request_queue::ranked request_queue::place_of(const queued_request& request) {
+    return {.not_urgent = !request.description.urgent,
+            .rank = request.rank(),
+            .sequence = request.sequence,
+            .request = &request};
 }
 
 }  // namespace masticpass
--- a/source/decision/serving/request_queue.h
+++ b/source/decision/serving/request_queue.h
@@ -26,13 +26,22 @@
     verdict outcome = verdict::not_run;
     std::optional<vm_id> failed_on;
 
-    // Worth per expected slot-second.
-    double density() const;
+    // Logarithm of the worth per expected slot-second.
+    double log_density() const;
+    // Claim to a place in a full queue: the worth per expected slot-second, and the time left for the load to
+    // fall.
+    double claim() const;
+    // Place in the order of dispatch, lower first: worth per expected slot-second, discounted exponentially
+    // by the time left until the latest start. The discount of two requests changes alike with time, so their
+    // order is fixed.
+    double rank() const;
+    // The same as a value that rises until the latest start, where it is log_density().
+    double value(absl::Time now) const;
     // The last time at which a start is expected to meet the deadline.
     absl::Time latest_start() const { return description.deadline - estimate.typical; }
 };
 
-// The waiting requests of one service by size class, most valuable first, and by latest start.
+// The waiting requests of one service by size class in the order of rank, and by latest start.
 // Thread safety: none; the caller holds a lock.
 class request_queue {
 public:
@@ -47,35 +56,49 @@
 
     // The first request of a class; nullptr if there is none. Urgent requests come before all others.
     const queued_request* first(size_class size) const;
-    // The least valuable request that is not urgent; nullptr if there is none.
-    const queued_request* last() const;
+    // The request with the least claim that is not urgent; nullptr if there is none.
+    const queued_request* least_claim() const;
     // The request whose latest start comes first; nullptr if the queue is empty.
     const queued_request* first_to_expire() const;
 
-    // Expected slot time of the requests that go before one with this density, about.
-    absl::Duration work_before(bool urgent, double density) const;
+    // Whether `left` goes before `right`, whatever their classes.
+    static bool goes_before(const queued_request& left, const queued_request& right);
+    // Whether `left` has more claim to a place in the queue than `right`.
+    static bool has_more_claim(const queued_request& left, const queued_request& right);
+
+    // Expected slot time of all requests.
+    absl::Duration work() const { return work_; }
 
     std::size_t items() const { return requests_.size(); }
-    std::size_t items(size_class size) const { return by_value_[class_index(size)].size(); }
+    std::size_t items(size_class size) const { return by_rank_[class_index(size)].size(); }
     std::size_t bytes() const { return bytes_; }
 
 private:
-    struct value_order {
+    struct ranked {
+        bool not_urgent = true;
+        double rank = 0.0;
+        std::uint64_t sequence = 0;
+        const queued_request* request = nullptr;
+
+        bool operator<(const ranked& other) const;
+    };
+    struct claim_order {
         bool operator()(const queued_request* left, const queued_request* right) const;
     };
     struct start_order {
         bool operator()(const queued_request* left, const queued_request* right) const;
     };
-    static constexpr std::size_t density_buckets = 129;
+
+    static ranked place_of(const queued_request& request);
 
     static std::size_t class_index(size_class size) { return size == size_class::short_work ? 0 : 1; }
-    static std::size_t density_bucket(bool urgent, double density);
 
     absl::flat_hash_map<request_id, std::unique_ptr<queued_request>> requests_;
-    std::array<absl::btree_set<const queued_request*, value_order>, 2> by_value_;
+    std::array<absl::btree_set<ranked>, 2> by_rank_;
     absl::btree_set<const queued_request*, start_order> by_start_;
-    // Microseconds, so that sums stay exact.
-    std::array<std::int64_t, density_buckets> work_ = {};
+    // Highest claim first.
+    absl::btree_set<const queued_request*, claim_order> by_claim_;
+    absl::Duration work_;
     std::size_t bytes_ = 0;
 };
 
--- a/source/decision/serving/scheduler_types.h
+++ b/source/decision/serving/scheduler_types.h
@@ -65,7 +65,7 @@
 
 struct scheduler_options {
     estimator_options estimator;
-    std::size_t largest_items = 2'000;
+    std::size_t largest_items = 10'000;
     std::size_t largest_bytes = std::size_t{64} << 20U;
     // Share of the slots that long work gets while short work waits.
     double long_share = 0.1;
--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -7,6 +7,9 @@
 
 constexpr absl::Duration least_retry_after = absl::Milliseconds(100);
 constexpr absl::Duration largest_retry_after = absl::Seconds(30);
+// The service counts as overloaded while it had to refuse this many requests in about this time.
+constexpr absl::Duration overload_memory = absl::Seconds(5);
+constexpr double overload_refusals = 3.0;
 
 }  // namespace
 
@@ -29,22 +32,20 @@
                          .estimate = estimator_.estimate(request.kind, request.declared),
                          .sequence = next_sequence_++,
                          .failed_on = std::nullopt};
-    if (entry.estimate.size == size_class::short_work) {
-        share_.short_arrived(entry.estimate.expected, now);
-    }
-    const int slots = instances_.usable_slots();
-    const absl::Duration wait =
-        slots > 0 ? queue_.work_before(request.urgent, entry.density()) / slots : absl::ZeroDuration();
-    if (entry.latest_start() < now + wait) {
+    if (!can_start_in_time(entry, now)) {
+        lately_refused_.add(1.0, now, overload_memory);
         return tl::make_unexpected(refuse(verdict::not_run, refusal_reason::deadline_unreachable,
                                           "the deadline cannot be met at the present load"));
     }
-    if (!make_room(entry)) {
+    if (!make_room(entry, now)) {
         const bool items = queue_.items() >= options_.largest_items;
         return tl::make_unexpected(refuse(
             verdict::not_run, items ? refusal_reason::queue_full_items : refusal_reason::queue_full_bytes,
             "the queue is full"));
     }
+    if (entry.estimate.size == size_class::short_work) {
+        share_.short_arrived(entry.estimate.expected, now);
+    }
     queue_.insert(std::move(entry));
     return {};
 }
@@ -68,14 +69,17 @@
 }
 
 std::optional<dispatch> service_scheduler::next_dispatch(absl::Time now) {
-    if (queue_.items() == 0 || !instances_.has_free_slot()) {
-        return std::nullopt;
+    const bool has_free_slot = instances_.has_free_slot();
+    const queued_request* chosen = nullptr;
+    if (has_free_slot && queue_.items() > 0) {
+        count_overlong_as_long(now);
+        chosen = choose_request(now);
     }
-    count_overlong_as_long(now);
-    const queued_request* const chosen = choose_request(now);
     if (chosen == nullptr) {
+        price_.slot_is_free(has_free_slot, now);
         return std::nullopt;
     }
+    record_price(*chosen, now);
     return start(chosen->description.id, *instances_.choose(chosen->failed_on), now);
 }
 
@@ -123,6 +127,7 @@
 std::vector<refused_request> service_scheduler::expire(absl::Time now) {
     for (const queued_request* first = queue_.first_to_expire();
          first != nullptr && first->latest_start() < now; first = queue_.first_to_expire()) {
+        lately_refused_.add(1.0, now, overload_memory);
         end_queued(first->description.id, refusal_reason::deadline_unreachable,
                    "the deadline can no longer be met");
     }
@@ -150,18 +155,26 @@
         .outcome = outcome, .reason = reason, .message = std::move(message), .retry_after = retry_after()};
 }
 
-bool service_scheduler::make_room(const queued_request& incoming) {
+bool service_scheduler::can_start_in_time(const queued_request& request, absl::Time now) {
+    if (request.latest_start() < now) {
+        return false;
+    }
+    return request.description.urgent || instances_.usable_slots() == 0 ||
+           request.log_density() >= price_.least(request.latest_start() - now, now);
+}
+
+bool service_scheduler::make_room(const queued_request& incoming, absl::Time now) {
     const std::size_t bytes = incoming.description.bytes;
     if (bytes > options_.largest_bytes) {
         return false;
     }
     while (!fits(1, bytes)) {
-        const queued_request* const least = queue_.last();
-        const bool worth_more =
-            least != nullptr && (incoming.description.urgent || least->density() < incoming.density());
+        const queued_request* const least = queue_.least_claim();
+        const bool worth_more = least != nullptr && request_queue::has_more_claim(incoming, *least);
         if (!worth_more) {
             return false;
         }
+        lately_refused_.add(1.0, now, overload_memory);
         end_queued(least->description.id, refusal_reason::queue_full_items,
                    "displaced by work of more worth");
     }
@@ -207,6 +220,7 @@
         if (now <= first->latest_start()) {
             return first;
         }
+        lately_refused_.add(1.0, now, overload_memory);
         end_queued(first->description.id, refusal_reason::deadline_unreachable,
                    "the deadline can no longer be met");
     }
@@ -229,11 +243,27 @@
         return long_first;
     }
     if (short_first != nullptr) {
-        return short_first;
+        return is_overloaded(now) && request_queue::goes_before(*long_first, *short_first) ? long_first
+                                                                                           : short_first;
     }
     return share_.long_may_start(long_running_, slots, now) ? long_first : nullptr;
 }
 
+void service_scheduler::record_price(const queued_request& chosen, absl::Time now) {
+    const auto goes_first = [&](size_class size) {
+        const queued_request* const other = queue_.first(size);
+        return other == nullptr || !request_queue::goes_before(*other, chosen);
+    };
+    // A request that the rules for the classes put before one of more value says nothing about the price.
+    if (goes_first(size_class::short_work) && goes_first(size_class::long_work)) {
+        price_.dispatched(chosen.value(now), now);
+    }
+}
+
+bool service_scheduler::is_overloaded(absl::Time now) const {
+    return lately_refused_.value(now, overload_memory) >= overload_refusals;
+}
+
 dispatch service_scheduler::start(request_id id, const vm_id& instance, absl::Time now) {
     running_request started{.request = queue_.take(id),
                             .instance = instance,
@@ -273,7 +303,7 @@
 
 absl::Duration service_scheduler::retry_after() const {
     const int slots = std::max(1, instances_.usable_slots());
-    return std::clamp(queue_.work_before(false, 0.0) / slots, least_retry_after, largest_retry_after);
+    return std::clamp(queue_.work() / slots, least_retry_after, largest_retry_after);
 }
 
 }  // namespace masticpass
--- a/source/decision/serving/service_scheduler.h
+++ b/source/decision/serving/service_scheduler.h
@@ -16,6 +16,8 @@
 
 #include "decision/serving/attempt_outcome.h"
 #include "decision/serving/class_share.h"
+#include "decision/serving/decayed_count.h"
+#include "decision/serving/dispatch_price.h"
 #include "decision/serving/instance_table.h"
 #include "decision/serving/request_queue.h"
 #include "decision/serving/retry_budget.h"
@@ -32,9 +34,9 @@
     explicit service_scheduler(scheduler_options options = {});
 
     // Queues the request. Errors, always as not run: identity_in_use if the id is queued or running;
-    // deadline_passed; deadline_unreachable if the work before it leaves no time; queue_full_items and
-    // queue_full_bytes if the queue holds nothing of less value. A request may displace one of less value,
-    // which expire then reports.
+    // deadline_passed; deadline_unreachable if work of more worth is expected to take all slots until then;
+    // queue_full_items and queue_full_bytes if the queue holds nothing of less value. A request may displace
+    // one of less value, which expire then reports.
     [[nodiscard]] tl::expected<void, refusal> submit(const request_description& request, absl::Time now);
 
     // Takes the request out of the queue at once, or keeps a running request from being retried.
@@ -82,14 +84,19 @@
     };
 
     refusal refuse(verdict outcome, refusal_reason reason, std::string message) const;
+    // False if the request is not expected to be dispatched before its latest start.
+    bool can_start_in_time(const queued_request& request, absl::Time now);
     // Makes room by displacing requests of less value; false if there are too few of them.
-    bool make_room(const queued_request& incoming);
+    bool make_room(const queued_request& incoming, absl::Time now);
     bool fits(std::size_t items, std::size_t bytes) const;
     void end_queued(const request_id& id, refusal_reason reason, std::string message);
     void count_overlong_as_long(absl::Time now);
     // The first request of the class that can still meet its deadline.
     const queued_request* first_viable(size_class size, absl::Time now);
     const queued_request* choose_request(absl::Time now);
+    void record_price(const queued_request& chosen, absl::Time now);
+    // Whether work has to be refused at present.
+    bool is_overloaded(absl::Time now) const;
     dispatch start(request_id id, const vm_id& instance, absl::Time now);
     void learn(const running_request& ended, const attempt_result& result, absl::Time now);
     absl::Duration retry_after() const;
@@ -98,6 +105,8 @@
     run_time_estimator estimator_;
     retry_budget retries_;
     class_share share_;
+    dispatch_price price_;
+    decayed_count lately_refused_;
     instance_table instances_;
     request_queue queue_;
     absl::flat_hash_map<request_id, running_request> running_;
