Judge a server by its last attempts

Cause: with a ratio over 30 s, a server with many earlier successes had to fail several hundred requests before it was ejected, and a failing server is the one with the most free slots. The order of requests was ruled out: the share without faults is not affected.

--- a/source/decision/serving/failure_evidence.cpp
+++ b/source/decision/serving/failure_evidence.cpp
@@ -20,23 +20,34 @@
     record.last_recorded = now;
     outcome_count& count = record.servers[server];
     (succeeded ? count.succeeded : count.failed).add(1.0, now, options_.memory);
+    std::deque<attempt>& last = last_attempts_[server];
+    last.push_back({.kind = kind, .succeeded = succeeded, .ended = now});
+    if (last.size() > options_.last_attempts) {
+        last.pop_front();
+    }
 }
 
 bool failure_evidence::is_failing(const vm_id& server, absl::Time now) const {
-    double failed = 0.0;
-    double succeeded = 0.0;
-    for (const auto& [kind, record] : kinds_) {
-        const auto count = record.servers.find(server);
-        if (count == record.servers.end()) {
+    const auto last = last_attempts_.find(server);
+    if (last == last_attempts_.end()) {
+        return false;
+    }
+    std::size_t failed = 0;
+    std::size_t judged = 0;
+    for (const attempt& each : last->second) {
+        const auto record = kinds_.find(each.kind);
+        if (now - each.ended > options_.memory || record == kinds_.end()) {
             continue;
         }
-        succeeded += count->second.succeeded.value(now, options_.memory);
-        if (!is_faulty(record, now) && succeeds_elsewhere(record, server, now)) {
-            failed += count->second.failed.value(now, options_.memory);
+        if (each.succeeded) {
+            ++judged;
+        } else if (!is_faulty(record->second, now) && succeeds_elsewhere(record->second, server, now)) {
+            ++judged;
+            ++failed;
         }
     }
-    return failed + succeeded >= options_.least_attempts &&
-           failed >= options_.failure_ratio * (failed + succeeded);
+    return judged >= options_.least_attempts &&
+           static_cast<double>(failed) >= options_.failure_ratio * static_cast<double>(judged);
 }
 
 bool failure_evidence::is_faulty(const job_kind& kind, absl::Time now) const {
@@ -45,6 +56,7 @@
 }
 
 void failure_evidence::forget(const vm_id& server) {
+    last_attempts_.erase(server);
     for (auto& [kind, record] : kinds_) {
         record.servers.erase(server);
     }
--- a/source/decision/serving/failure_evidence.h
+++ b/source/decision/serving/failure_evidence.h
@@ -2,6 +2,7 @@
 #define MASTICPASS_DECISION_SERVING_FAILURE_EVIDENCE_H
 
 #include <cstddef>
+#include <deque>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -16,8 +17,9 @@
     absl::Duration memory = absl::Seconds(30);
     // Share of failures from which on a server or a kind on a server counts as failing.
     double failure_ratio = 0.5;
-    // Weight of attempts needed to judge a server.
-    double least_attempts = 5.0;
+    // A server is judged by its last attempts; fewer than the least number say nothing.
+    std::size_t last_attempts = 16;
+    std::size_t least_attempts = 5;
     // A kind that fails on this many servers is held responsible itself.
     std::size_t servers_to_blame_kind = 3;
     // Bounds the memory; the kind recorded least recently is forgotten first.
@@ -41,6 +43,11 @@
     void forget(const vm_id& server);
 
 private:
+    struct attempt {
+        job_kind kind;
+        bool succeeded = false;
+        absl::Time ended;
+    };
     struct outcome_count {
         decayed_count succeeded;
         decayed_count failed;
@@ -56,6 +63,9 @@
 
     evidence_options options_;
     absl::flat_hash_map<job_kind, kind_record> kinds_;
+    // Newest last. The last attempts show a fault that has just begun on a server with many earlier
+    // successes.
+    absl::flat_hash_map<vm_id, std::deque<attempt>> last_attempts_;
 };
 
 }  // namespace masticpass
