Probe an ejected server at a fixed interval

Cause: the time between probes doubled, so a server came back up to 20 s after its fault had ended. A request that fails soon after still doubles the time to the next first probe.

--- a/source/decision/serving/server_health.cpp
+++ b/source/decision/serving/server_health.cpp
@@ -79,8 +79,7 @@
         reinstate(server, found->second);
         return;
     }
-    found->second.probe_at = now + found->second.back_off;
-    found->second.back_off = std::min(found->second.back_off * 2, options_.largest_back_off);
+    found->second.probe_at = now + options_.probe_interval;
 }
 
 void server_health::eject(server_state& state, absl::Time now) {
