--- a/source/decision/serving/scheduler_types.h
+++ b/source/decision/serving/scheduler_types.h
@@ -68,7 +68,7 @@
     std::size_t largest_items = 10'000;
     std::size_t largest_bytes = std::size_t{64} << 20U;
     // Share of the slots that long work gets while short work waits.
-    double long_share = 0.1;
+    double long_share = 0.05;
     int retry_percent = 10;
     int retry_burst = 10;
 };
