--- /dev/null
+++ b/tests/decision/serving/slot_allotment_test.cpp
@@ -0,0 +1,109 @@
+#include "decision/serving/slot_allotment.h"
+
+#include <bit>
+
+#include <doctest/doctest.h>
+
+namespace masticpass {
+namespace {
+
+const vm_id instance("vm-1");
+const incarnation_id first("a.1");
+const incarnation_id second("b.1");
+const incarnation_id third("c.1");
+
+allotment_record joined(const allotment_record& present, const incarnation_id& incarnation) {
+    return with_member(present, entry_id(incarnation.value()), incarnation).value();
+}
+
+}  // namespace
+
+TEST_CASE("each slot has one owner and the shares differ by at most one") {
+    const allotment_record record = joined(joined(joined({}, first), second), third);
+    std::uint32_t all = 0;
+    for (const auto& member : {first, second, third}) {
+        const std::uint32_t slots = record.slots_of(instance, member);
+        CHECK((all & slots) == 0);
+        all |= slots;
+        CHECK(std::popcount(slots) >= 2);
+        CHECK(std::popcount(slots) <= 3);
+    }
+    CHECK(all == 0xFF);
+    CHECK(with_member(record, entry_id("a"), first).error().reason == refusal_reason::identity_in_use);
+}
+
+// Guards against a gained slot in use by its previous owner.
+TEST_CASE("a gained slot waits until the previous owner has settled") {
+    const allotment_record one = joined({}, first);
+    const allotment_record two = joined(one, second);
+    slot_allotment old_owner(first);
+    slot_allotment new_owner(second);
+    old_owner.apply(one);
+    for (int request = 0; request < 8; ++request) {
+        REQUIRE(old_owner.acquire_slot(instance));
+    }
+    CHECK_FALSE(old_owner.acquire_slot(instance));
+    old_owner.apply(two);
+    new_owner.apply(one);
+    new_owner.apply(two);
+    CHECK(old_owner.usable_slots(instance) == 4);
+    CHECK(new_owner.usable_slots(instance) == 0);
+    new_owner.announced(first, old_owner.announcement());
+    CHECK(new_owner.usable_slots(instance) == 0);
+    for (int request = 0; request < 4; ++request) {
+        old_owner.release_slot(instance);
+    }
+    const settlement settled = old_owner.announcement();
+    CHECK(settled.unsettled.empty());
+    new_owner.announced(first, settled);
+    CHECK(new_owner.usable_slots(instance) == 4);
+    CHECK(new_owner.connection_limit(instance) == 32);
+}
+
+// Guards against idle connections that exceed the limit of the server together with those of the new owner.
+TEST_CASE("an instance settles only when its connections fit") {
+    const allotment_record one = joined({}, first);
+    slot_allotment owner(first);
+    owner.apply(one);
+    for (int connection = 0; connection < 64; ++connection) {
+        REQUIRE(owner.acquire_connection(instance));
+    }
+    CHECK_FALSE(owner.acquire_connection(instance));
+    owner.apply(joined(one, second));
+    CHECK(owner.surplus_connections(instance) == 32);
+    CHECK(owner.announcement().unsettled.size() == 1);
+    for (int connection = 0; connection < 32; ++connection) {
+        owner.release_connection(instance);
+    }
+    CHECK(owner.announcement().unsettled.empty());
+}
+
+// Guards against the loss of slots for good when an entry VM is killed.
+TEST_CASE("proof that an entry VM is gone frees its slots") {
+    const allotment_record one = joined({}, first);
+    const allotment_record two = joined(one, second);
+    slot_allotment survivor(second);
+    survivor.apply(two);
+    CHECK(survivor.usable_slots(instance) == 0);
+    survivor.proved_gone(first);
+    CHECK(survivor.usable_slots(instance) == 4);
+    survivor.apply(without_member(two, first));
+    CHECK(survivor.usable_slots(instance) == 8);
+    survivor.apply(one);
+    CHECK(survivor.usable_slots(instance) == 8);
+}
+
+// Guards against a late announcement that takes back a settlement or that skips one.
+TEST_CASE("announcements may arrive late and twice") {
+    settlement_view view;
+    view.announced(first, {.epoch = 3, .unsettled = {}});
+    view.announced(first, {.epoch = 5, .unsettled = {instance}});
+    CHECK(view.settled_epoch(first, instance) == 3);
+    CHECK(view.settled_epoch(first, vm_id("other")) == 5);
+    view.announced(first, {.epoch = 5, .unsettled = {}});
+    view.announced(first, {.epoch = 5, .unsettled = {instance}});
+    view.announced(first, {.epoch = 4, .unsettled = {instance}});
+    CHECK(view.settled_epoch(first, instance) == 5);
+}
+
+}  // namespace masticpass
