--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -22,6 +22,8 @@
                        const placement_policy& policy, absl::Time now)
     : pools_(pools), policy_(policy), now_(now) {
     quotas_.set_quotas(quotas);
+    // References to participants stay valid when all pools enter later.
+    participants_.reserve(pools_.size());
     for (auto& [name, pool] : pools_) {
         quotas_.add_use(pool.input.team, quota_use(pool.input));
         const bool short_of_vms =
@@ -78,14 +80,14 @@
     return shortage_of(receiver.pool->input, policy_, receiver.capacity) > 0;
 }
 
-bool move_round::can_give(const participant& donor, const placement_vm& vm) const {
+bool move_round::may_leave(const participant& donor, const placement_vm& vm) const {
+    const auto& pool = donor.pool->input;
+    return vm.state == placement_vm_state::serving && vm.movable && donor.settled_size > pool.minimum_vms &&
+           budget_permits(pool.budget, donor.unavailable, vm);
+}
+
+bool move_round::can_spare(const participant& donor, const placement_vm& vm) const {
     const auto& pool = donor.pool->input;
-    if (vm.state != placement_vm_state::serving || !vm.movable) {
-        return false;
-    }
-    if (donor.settled_size <= pool.minimum_vms || !budget_permits(pool.budget, donor.unavailable, vm)) {
-        return false;
-    }
     auto remaining = donor.capacity;
     remaining.add(vm, -1);
     return shortage_of(pool, policy_, remaining, pool.spare ? 1.0 : 1 + policy_.shrink_band) == 0;
@@ -102,8 +104,8 @@
     return vm_helps(pool, policy_, receiver.capacity, vm);
 }
 
-std::size_t move_round::best_vm(const participant& donor, const participant& receiver,
-                                move_cause cause) const {
+std::size_t move_round::best_vm(const participant& donor, const participant& receiver, move_cause cause,
+                                donor_condition condition) const {
     const auto& vms = donor.pool->input.vms;
     const auto spread = [&](const placement_vm& vm) {
         return std::tuple(receiver.capacity.in_zone(vm.zone), receiver.capacity.in_rack(vm.zone, vm.rack),
@@ -120,35 +122,38 @@
         const auto rank = std::tuple(spread(vm), std::string_view(vm.vm.value()));
         if ((best == vms.size() ||
              rank < std::tuple(spread(vms[best]), std::string_view(vms[best].vm.value()))) &&
-            can_give(donor, vm)) {
+            may_leave(donor, vm) &&
+            (condition == donor_condition::better_off_than_receiver || can_spare(donor, vm))) {
             best = index;
         }
     }
     return best;
 }
 
-bool move_round::fill_one(participant& receiver, move_cause cause) {
+bool move_round::take_from(participant& donor, participant& receiver, move_cause cause,
+                           donor_condition condition) {
+    const auto& source = donor.pool->input;
     const auto& target = receiver.pool->input;
-    const auto take_from = [&](participant& donor) {
-        const auto& source = donor.pool->input;
-        if (&donor == &receiver || !quotas_.permits_move(source.team, target.team)) {
-            return false;
-        }
-        const auto index = best_vm(donor, receiver, cause);
-        if (index == source.vms.size()) {
-            return false;
-        }
-        const auto& vm = source.vms[index];
-        donor.leaving.insert(index);
-        donor.capacity.add(vm, -1);
-        donor.unavailable.add(vm, 1);
-        --donor.settled_size;
-        ++donor.given_vms;
-        receiver.capacity.add(vm, 1);
-        quotas_.count_move(source.team, target.team);
-        moves_.push_back({vm.vm, source.pool, target.pool, cause});
-        return true;
-    };
+    if (&donor == &receiver || !quotas_.permits_move(source.team, target.team)) {
+        return false;
+    }
+    const auto index = best_vm(donor, receiver, cause, condition);
+    if (index == source.vms.size()) {
+        return false;
+    }
+    const auto& vm = source.vms[index];
+    donor.leaving.insert(index);
+    donor.capacity.add(vm, -1);
+    donor.unavailable.add(vm, 1);
+    --donor.settled_size;
+    ++donor.given_vms;
+    receiver.capacity.add(vm, 1);
+    quotas_.count_move(source.team, target.team);
+    moves_.push_back({vm.vm, source.pool, target.pool, cause});
+    return true;
+}
+
+bool move_round::fill_one(participant& receiver, move_cause cause) {
     if (std::cmp_greater_equal(moves_.size(), policy_.max_moves_per_round)) {
         return false;
     }
@@ -156,18 +161,54 @@
     // that took from another spare pool would only shift the gap.
     if (cause == move_cause::shortage) {
         for (const auto index : spares_) {
-            if (take_from(participants_[index])) {
+            if (take_from(participants_[index], receiver, cause, donor_condition::holds_its_needs)) {
                 return true;
             }
         }
     }
     for (const auto index : surplus_donors_) {
         auto& donor = participants_[index];
-        if (donor.given_vms < donor.surplus_vms && take_from(donor)) {
+        if (donor.given_vms < donor.surplus_vms &&
+            take_from(donor, receiver, cause, donor_condition::holds_its_needs)) {
             return true;
         }
     }
-    return false;
+    return cause == move_cause::shortage && take_from_best_off(receiver);
+}
+
+bool move_round::take_from_best_off(participant& receiver) {
+    if (!all_entered_) {
+        all_entered_ = true;
+        absl::flat_hash_set<const planned_pool*> entered;
+        for (const auto& known : participants_) {
+            entered.insert(known.pool);
+        }
+        for (auto& [name, pool] : pools_) {
+            if (!entered.contains(&pool)) {
+                participants_.push_back(enter(pool));
+            }
+        }
+    }
+    // Capacity per sustained demand after `change` VMs were added. A pool without demand has enough of it.
+    const auto coverage = [](const participant& pool, int change) {
+        const auto& input = pool.pool->input;
+        return (pool.capacity.total() + change) * input.slots_per_vm / std::max(input.sustained_slots, 0.1);
+    };
+    std::vector<participant*> donors;
+    for (auto& donor : participants_) {
+        // An urgent pool gives only to urgent pools. The band keeps two pools from exchanging VMs at each
+        // small change of demand.
+        if ((!donor.pool->input.urgent || receiver.pool->input.urgent) &&
+            coverage(donor, -1) >= coverage(receiver, 1) * (1 + policy_.shrink_band)) {
+            donors.push_back(&donor);
+        }
+    }
+    std::stable_sort(donors.begin(), donors.end(), [&](const participant* left, const participant* right) {
+        return coverage(*left, 0) > coverage(*right, 0);
+    });
+    return std::any_of(donors.begin(), donors.end(), [&](participant* donor) {
+        return take_from(*donor, receiver, move_cause::shortage, donor_condition::better_off_than_receiver);
+    });
 }
 
 void move_round::fill_shortages() {
--- a/source/decision/placement/move_round.h
+++ b/source/decision/placement/move_round.h
@@ -26,6 +26,9 @@
     std::vector<planned_move> choose();
 
 private:
+    // What a donor must keep.
+    enum class donor_condition { holds_its_needs, better_off_than_receiver };
+
     // A pool that takes part in the round, with the effect of the moves chosen so far.
     struct participant {
         planned_pool* pool = nullptr;
@@ -41,11 +44,18 @@
 
     participant enter(planned_pool& pool) const;
     bool is_short(const participant& receiver) const;
-    bool can_give(const participant& donor, const placement_vm& vm) const;
+    // True if the donor's minimum and budget permit that the VM leaves.
+    bool may_leave(const participant& donor, const placement_vm& vm) const;
+    // True if the donor also holds its demand and declared losses without the VM.
+    bool can_spare(const participant& donor, const placement_vm& vm) const;
     bool accepts(const participant& receiver, const placement_vm& vm, move_cause cause) const;
     // Position of the best VM for the receiver, or the number of VMs if the donor has none.
-    std::size_t best_vm(const participant& donor, const participant& receiver, move_cause cause) const;
+    std::size_t best_vm(const participant& donor, const participant& receiver, move_cause cause,
+                        donor_condition condition) const;
+    bool take_from(participant& donor, participant& receiver, move_cause cause, donor_condition condition);
     bool fill_one(participant& receiver, move_cause cause);
+    // Takes a VM from the pool that is best off, if it stays better off than the receiver becomes.
+    bool take_from_best_off(participant& receiver);
     void fill_shortages();
     void refill_buffers();
 
@@ -58,6 +68,8 @@
     std::vector<std::size_t> receivers_;
     std::vector<std::size_t> spares_;
     std::vector<std::size_t> surplus_donors_;
+    // True once every pool takes part, which only a shortage that no buffer or surplus covers needs.
+    bool all_entered_ = false;
     std::vector<planned_move> moves_;
 };
 
