--- a/measure/support/placement_comparison.cpp
+++ b/measure/support/placement_comparison.cpp
@@ -114,6 +114,29 @@
                  result.run->moves);
 }
 
+// Compares the moves with those of following the mean of the last `rounds` rounds.
+void compare_moves(const placement_deployment& deployment, const demand_trace& trace, const std::string& name,
+                   std::size_t rounds, const search_result& planned,
+                   const headroom_factory& planned_factory) {
+    const auto create = [rounds](double headroom) {
+        return std::make_unique<chase_demand>(headroom, rounds);
+    };
+    auto chase = best_headroom(deployment, trace, deployment.on_time, create);
+    auto equal = planned;
+    if (chase.run) {
+        print_row(name, chase);
+    } else {
+        chase = best_service(deployment, trace, create);
+        equal = best_headroom(deployment, trace, chase.run->on_time, planned_factory);
+        print_row(name + "*", chase);
+        print_row("planned*", equal);
+    }
+    if (equal.run) {
+        absl::PrintF("  moves of %s per planned move: %.1f (goal 5)\n", name,
+                     static_cast<double>(chase.run->moves) / std::max(1, equal.run->moves));
+    }
+}
+
 void compare(const placement_deployment& deployment, std::uint64_t seed) {
     const demand_trace trace(deployment, seed);
     absl::PrintF("%s, seed %d, on time at least %.3f, longest wait %.0f s, mean need %.1f VMs\n",
@@ -121,7 +144,6 @@
                  needed_vms(trace));
     absl::PrintF("  %-10s %8s %6s %9s %8s %12s %8s\n", "strategy", "headroom", "VMs", "on time", "wait s",
                  "spare VM-h", "moves");
-    const auto chase_factory = [](double headroom) { return std::make_unique<chase_demand>(headroom); };
     const auto planned_factory = [&](double headroom) {
         return std::make_unique<planned_placement>(deployment, placement_policy{.headroom = headroom});
     };
@@ -131,10 +153,8 @@
     const search_result ideal{
         0, smallest_fleet(deployment, trace, on_time, [] { return std::make_unique<ideal_spread>(); })};
     const auto planned = best_headroom(deployment, trace, on_time, planned_factory);
-    auto chase = best_headroom(deployment, trace, on_time, chase_factory);
     print_row("fixed", fixed);
     print_row("planned", planned);
-    print_row("chase", chase);
     print_row("ideal", ideal);
     const auto saved = [&](const search_result& result) {
         return 100 * (1 - result.run->spare_vm_hours / fixed.run->spare_vm_hours);
@@ -143,17 +163,8 @@
         absl::PrintF("  buffer saved over fixed: %.1f%% (goal 30%%; ideal spread %.1f%%)\n", saved(planned),
                      saved(ideal));
     }
-    auto equal = planned;
-    if (!chase.run) {
-        chase = best_service(deployment, trace, chase_factory);
-        equal = best_headroom(deployment, trace, chase.run->on_time, planned_factory);
-        print_row("chase*", chase);
-        print_row("planned*", equal);
-    }
-    if (equal.run) {
-        absl::PrintF("  moves of chase per planned move: %.1f (goal 5)\n",
-                     static_cast<double>(chase.run->moves) / std::max(1, equal.run->moves));
-    }
+    compare_moves(deployment, trace, "chase 1", 1, planned, planned_factory);
+    compare_moves(deployment, trace, "chase 10", 10, planned, planned_factory);
 }
 
 }  // namespace
@@ -161,7 +172,8 @@
 void print_buffer_and_moves(std::uint64_t first_seed, int seeds, const std::string& only) {
     absl::PrintF(
         "Spare buffer and moves at equal on-time service, 24 h, one rack and one zone lost.\n"
-        "Rows marked * are at the most on-time service that chase reaches with any fleet.\n");
+        "Rows marked * are at the most on-time service that the chase above them reaches with any fleet.\n"
+        "chase N follows the mean of the last N rounds of 60 s.\n");
     for (const auto& deployment : deployments()) {
         for (int index = 0; index < seeds && (only.empty() || only == deployment.name); ++index) {
             compare(deployment, first_seed + static_cast<std::uint64_t>(index));
--- a/measure/support/placement_strategies.cpp
+++ b/measure/support/placement_strategies.cpp
@@ -114,13 +114,22 @@
 }
 
 std::vector<simulated_move> chase_demand::decide(int second, const std::vector<simulated_vm>& vms) {
-    std::vector<int> missing(slots_.size());
-    for (std::size_t pool = 0; pool < slots_.size(); ++pool) {
-        missing[pool] =
-            std::max(1, static_cast<int>(std::ceil(slots_[pool] / samples_ * headroom_ / slots_per_vm)));
-        slots_[pool] = 0;
+    for (auto& slots : slots_) {
+        slots /= samples_;
     }
+    means_.push_back(std::exchange(slots_, std::vector<double>(slots_.size())));
     samples_ = 0;
+    if (means_.size() > rounds_) {
+        means_.pop_front();
+    }
+    std::vector<int> missing(slots_.size());
+    for (std::size_t pool = 0; pool < missing.size(); ++pool) {
+        double mean = 0;
+        for (const auto& round : means_) {
+            mean += round[pool] / static_cast<double>(means_.size());
+        }
+        missing[pool] = std::max(1, static_cast<int>(std::ceil(mean * headroom_ / slots_per_vm)));
+    }
     return moves_towards(std::move(missing), vms, second);
 }
 
--- a/measure/support/placement_strategies.h
+++ b/measure/support/placement_strategies.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPASS_MEASURE_SUPPORT_PLACEMENT_STRATEGIES_H
 #define MASTICPASS_MEASURE_SUPPORT_PLACEMENT_STRATEGIES_H
 
+#include <cstddef>
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,7 @@
 // spare pool.
 class chase_demand final : public placement_strategy {
 public:
-    explicit chase_demand(double headroom) : headroom_(headroom) {}
+    chase_demand(double headroom, std::size_t rounds) : headroom_(headroom), rounds_(rounds) {}
 
     std::vector<int> initial_sizes(const demand_trace& trace, int vms) override;
     void observe(int second, const std::vector<double>& slots) override;
@@ -33,8 +35,11 @@
 
 private:
     double headroom_;
+    std::size_t rounds_;
     int samples_ = 0;
     std::vector<double> slots_;
+    // Mean demand of each service in each of the last rounds, the newest last.
+    std::deque<std::vector<double>> means_;
 };
 
 // Bound: knows the drifting mean, spreads the whole fleet in proportion to it, and moves VMs in no time. No
