Eject servers that fail everything and refuse kinds that fail everywhere

The router reports each attempt to the health of its service; ejections take effect at the next choice of an instance and are noted in the directory, so that budgets count ejected servers.

--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -266,6 +266,7 @@
 
 void entry_vm::state::housekeep() {
     backends.close_stale();
+    router.check_ejected_servers();
     std::set<std::string> addresses;
     for (const record& registered : records.with_prefix(entry_registration_prefix)) {
         if (const auto parsed = parse_registration(registered.key, registered.value)) {
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -1,6 +1,7 @@
 #include "routing/request_router.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace masticpass {
@@ -19,6 +20,21 @@
     std::atomic<int>& count_;
 };
 
+constexpr int first_server_error_status = 500;
+constexpr absl::Duration ejected_probe_time_limit = absl::Milliseconds(250);
+
+// Whether an attempt counts for or against the server; nullopt if it says nothing about it.
+std::optional<bool> success_of(const tl::expected<backend_response, attempt_failure>& response) {
+    if (response) {
+        return response->status < first_server_error_status;
+    }
+    const refusal_reason reason = response.error().cause.reason;
+    if (reason == refusal_reason::server_refused || reason == refusal_reason::no_server) {
+        return std::nullopt;
+    }
+    return false;
+}
+
 constexpr absl::Duration retry_after_stop = absl::Seconds(1);
 
 tl::unexpected<refusal> refuse(verdict outcome, refusal_reason reason, std::string message) {
@@ -203,7 +219,7 @@
                                             const request_description& description, served& service,
                                             dispatch work) {
     while (true) {
-        auto response = run_attempt(request, work);
+        auto response = run_attempt(request, service, work);
         const attempt_result outcome =
             response ? attempt_result() : attempt_result(tl::unexpected(response.error().cause));
         auto next = service.shard->attempt_ended(description.id, outcome);
@@ -225,6 +241,7 @@
 }
 
 tl::expected<backend_response, attempt_failure> request_router::run_attempt(const service_request& request,
+                                                                            served& service,
                                                                             const dispatch& work) {
     const auto server = parts_.directory.find(work.instance);
     if (!server || !server->accepts_work() || !parts_.ledger.acquire_slot(work.instance)) {
@@ -242,6 +259,9 @@
     attempt.time_limit = attempt_time_limit(request, work, start);
     auto response = parts_.backends.run(attempt);
     parts_.ledger.release_slot(work.instance);
+    if (const auto succeeded = success_of(response)) {
+        service.shard->judge(work.instance, request.kind, *succeeded);
+    }
     const bool leaving = response ? response->leaving : response.error().leaving;
     if (leaving) {
         parts_.directory.mark_leaving(server->vm, server->boot);
@@ -313,6 +333,26 @@
     }
 }
 
+void request_router::check_ejected_servers() {
+    std::set<vm_id> ejected;
+    for (const auto& [name, service] : table()) {
+        while (const auto vm = service->shard->next_probe()) {
+            const auto server = parts_.directory.find(*vm);
+            const bool healthy = server && parts_.backends.probe(server->address, ejected_probe_time_limit) ==
+                                               probe_result::healthy;
+            service->shard->probe_ended(*vm, healthy);
+        }
+        for (const server_state& server : parts_.directory.servers()) {
+            if (service->shard->is_ejected(server.vm)) {
+                ejected.insert(server.vm);
+            }
+        }
+    }
+    for (const server_state& server : parts_.directory.servers()) {
+        parts_.directory.set_ejected(server.vm, ejected.contains(server.vm));
+    }
+}
+
 void request_router::begin_stop() {
     stopping_ = true;
     for (const auto& [name, service] : table()) {
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -68,6 +68,10 @@
     // Ends expired requests; to be called every few milliseconds.
     void tick();
 
+    // Probes ejected servers whose back-off has passed and notes ejections in the directory; to be called
+    // every second or so. Takes up to the time limit of a probe for each.
+    void check_ejected_servers();
+
     // Refuses new requests and, after that, those that are queued.
     void begin_stop();
 
@@ -95,7 +99,7 @@
     request_result run_attempts(const service_request& request, const request_description& description,
                                 served& service, dispatch work);
     tl::expected<backend_response, attempt_failure> run_attempt(const service_request& request,
-                                                                const dispatch& work);
+                                                                served& service, const dispatch& work);
     request_description describe(const service_request& request, const served& service);
     std::shared_ptr<served> find(const service_name& service) const;
     service_table table() const;
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -5,12 +5,22 @@
 
 namespace masticpass {
 
+namespace {
+
+constexpr absl::Duration retry_after_faulty_kind = absl::Seconds(5);
+
+}  // namespace
+
 service_shard::service_shard(const scheduler_options& options, const clock& time_source)
     : clock_(time_source), scheduler_(options) {}
 
 tl::expected<dispatch, refusal> service_shard::wait_for_slot(const request_description& request) {
     const absl::MutexLock lock(&mutex_);
     const absl::Time now = clock_.now();
+    if (health_.kind_is_faulty(request.kind, now)) {
+        return tl::unexpected(refusal{verdict::not_run, refusal_reason::job_fails_everywhere,
+                                      "this kind of job fails on every server", retry_after_faulty_kind});
+    }
     auto submitted = scheduler_.submit(request, now);
     if (!submitted) {
         return tl::unexpected(std::move(submitted.error()));
@@ -52,10 +62,51 @@
 void service_shard::update_instances(absl::Span<const instance_capacity> instances) {
     const absl::MutexLock lock(&mutex_);
     const absl::Time now = clock_.now();
-    scheduler_.update_instances(instances, now);
+    instances_.assign(instances.begin(), instances.end());
+    std::vector<vm_id> servers;
+    for (const instance_capacity& instance : instances) {
+        servers.push_back(instance.instance);
+    }
+    health_.update_servers(servers);
+    apply_instances(now);
+}
+
+void service_shard::apply_instances(absl::Time now) {
+    std::vector<instance_capacity> usable = instances_;
+    for (instance_capacity& instance : usable) {
+        instance.accepts_work = instance.accepts_work && !health_.is_ejected(instance.instance);
+    }
+    scheduler_.update_instances(usable, now);
     advance(now);
 }
 
+void service_shard::judge(const vm_id& server, const job_kind& kind, bool succeeded) {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time now = clock_.now();
+    const bool was_ejected = health_.is_ejected(server);
+    health_.attempt_ended(server, kind, succeeded, now);
+    if (health_.is_ejected(server) != was_ejected) {
+        apply_instances(now);
+    }
+}
+
+std::optional<vm_id> service_shard::next_probe() {
+    const absl::MutexLock lock(&mutex_);
+    return health_.next_probe(clock_.now());
+}
+
+void service_shard::probe_ended(const vm_id& server, bool succeeded) {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time now = clock_.now();
+    health_.probe_ended(server, succeeded, now);
+    apply_instances(now);
+}
+
+bool service_shard::is_ejected(const vm_id& server) const {
+    const absl::MutexLock lock(&mutex_);
+    return health_.is_ejected(server);
+}
+
 void service_shard::refuse_queued(refusal_reason reason, const std::string& message) {
     const absl::MutexLock lock(&mutex_);
     for (refused_request& refused : scheduler_.refuse_queued(reason, message)) {
--- a/source/routing/service_shard.h
+++ b/source/routing/service_shard.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 
 #include "common/clock.h"
+#include "decision/serving/server_health.h"
 #include "decision/serving/service_scheduler.h"
 
 namespace masticpass {
@@ -24,20 +25,29 @@
     int running = 0;
 };
 
-// The scheduler of one service with the threads that wait for its slots, under one lock.
-// Ownership: borrows the clock, which must outlive it.
-// Thread safety: all methods may be called from any thread.
+// The scheduler of one service, the health of its servers, and the threads that wait for its slots, under one
+// lock. Ownership: borrows the clock, which must outlive it. Thread safety: all methods may be called from
+// any thread.
 class service_shard {
 public:
     service_shard(const scheduler_options& options, const clock& time_source);
 
-    // Queues a request and blocks until it gets a slot. Errors: the scheduler's refusals, all as not run.
+    // Queues a request and blocks until it gets a slot. Errors, all as not run: the scheduler's refusals, and
+    // job_fails_everywhere for a kind of job that lately failed on several servers.
     tl::expected<dispatch, refusal> wait_for_slot(const request_description& request);
 
     // Reports the end of a dispatched attempt. With `queued_again` the caller continues with wait_again.
     [[nodiscard]] tl::expected<attempt_next, refusal> attempt_ended(const request_id& id,
                                                                     const attempt_result& result);
 
+    // Records what an attempt says about the server and the kind of job.
+    void judge(const vm_id& server, const job_kind& kind, bool succeeded);
+
+    // An ejected server that is to be probed now; the caller reports the result with probe_ended.
+    std::optional<vm_id> next_probe();
+    void probe_ended(const vm_id& server, bool succeeded);
+    bool is_ejected(const vm_id& server) const;
+
     // Blocks until a request that was queued again gets a slot.
     tl::expected<dispatch, refusal> wait_again(const request_id& id);
 
@@ -60,6 +70,7 @@
     };
 
     tl::expected<dispatch, refusal> wait(const request_id& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void apply_instances(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void notify(const request_id& id, tl::expected<dispatch, refusal> outcome)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -67,6 +78,9 @@
     const clock& clock_;
     mutable absl::Mutex mutex_;
     service_scheduler scheduler_ ABSL_GUARDED_BY(mutex_);
+    server_health health_ ABSL_GUARDED_BY(mutex_);
+    // As last set, before ejections.
+    std::vector<instance_capacity> instances_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<request_id, std::unique_ptr<waiter>> waiters_ ABSL_GUARDED_BY(mutex_);
 };
 
