--- /dev/null
+++ b/measure/overhead_measure.cpp
@@ -0,0 +1,127 @@
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include <CLI/CLI.hpp>
+#include <absl/strings/str_format.h>
+
+#include "support/process_fleet.h"
+#include "support/request_pacer.h"
+#include "support/table.h"
+
+namespace masticpass::measure {
+
+namespace {
+
+constexpr int backend_port_offset = 200;
+
+struct overhead_options {
+    fleet_programs programs;
+    double rate = 1000.0;
+    int connections = 16;
+    int rounds = 4;
+    int seconds = 4;
+    std::uint64_t seed = 1;
+};
+
+void append(std::vector<double>& all, const std::vector<double>& more) {
+    all.insert(all.end(), more.begin(), more.end());
+}
+
+std::string milliseconds(double value) {
+    return absl::StrFormat("%.3f", value);
+}
+
+void add_row(table& rows, const std::string& name, const std::vector<double>& direct,
+             const std::vector<double>& through) {
+    for (const auto& [label, share] : {std::pair{" p50", 0.5}, std::pair{" p99", 0.99}}) {
+        const double without = percentile(direct, share);
+        const double with = percentile(through, share);
+        rows.add({name + label, milliseconds(without), milliseconds(with), milliseconds(with - without)});
+    }
+}
+
+// Direct and forwarded requests alternate, so that other load of the machine affects both.
+void measure_overhead(const overhead_options& options) {
+    fleet_options setup;
+    setup.fleet.vms = 1;
+    setup.fleet.pools = 1;
+    setup.fleet.zones = 1;
+    setup.fleet.first_backend_port = options.programs.base_port + backend_port_offset;
+    setup.backends = 1;
+    const process_fleet processes(options.programs, setup);
+
+    paced_requests direct;
+    direct.address = "127.0.0.1:" + std::to_string(setup.fleet.first_backend_port);
+    direct.path = "/run";
+    direct.headers = {{"Masticpass-Attempt-Id", "direct"}};
+    direct.rate = options.rate;
+    direct.connections = options.connections;
+    direct.duration = absl::Seconds(options.seconds);
+    paced_requests through = direct;
+    through.address = processes.caller_address(0);
+    through.path = "/v1/services/service-0/requests";
+    through.headers = {{"Masticpass-Timeout-Ms", "2000"}, {"Masticpass-Repeatable", "yes"}};
+
+    // Opens the connections and lets the entry VM learn the run time.
+    static_cast<void>(send_paced(through));
+    paced_result all_direct;
+    paced_result all_through;
+    table rounds(
+        {"round", "direct p50", "through p50", "added p50", "direct p99", "through p99", "added p99"});
+    for (int round = 0; round < options.rounds; ++round) {
+        direct.seed = options.seed * 1000 + static_cast<std::uint64_t>(round) * 2;
+        through.seed = direct.seed + 1;
+        const paced_result without = send_paced(direct);
+        const paced_result with = send_paced(through);
+        const double p50 = percentile(without.latency_ms, 0.5);
+        const double p99 = percentile(without.latency_ms, 0.99);
+        const double with_p50 = percentile(with.latency_ms, 0.5);
+        const double with_p99 = percentile(with.latency_ms, 0.99);
+        rounds.add({std::to_string(round), milliseconds(p50), milliseconds(with_p50),
+                    milliseconds(with_p50 - p50), milliseconds(p99), milliseconds(with_p99),
+                    milliseconds(with_p99 - p99)});
+        append(all_direct.latency_ms, without.latency_ms);
+        append(all_direct.since_schedule_ms, without.since_schedule_ms);
+        append(all_through.latency_ms, with.latency_ms);
+        append(all_through.since_schedule_ms, with.since_schedule_ms);
+        all_direct.failed += without.failed;
+        all_through.failed += with.failed;
+    }
+    rounds.print("time of a request in ms, by round");
+    table total({"measure", "direct", "through entry VM", "added"});
+    add_row(total, "from sending", all_direct.latency_ms, all_through.latency_ms);
+    add_row(total, "from schedule", all_direct.since_schedule_ms, all_through.since_schedule_ms);
+    total.add({"requests", std::to_string(all_direct.latency_ms.size()),
+               std::to_string(all_through.latency_ms.size()), ""});
+    total.add({"failed", std::to_string(all_direct.failed), std::to_string(all_through.failed), ""});
+    total.print(absl::StrFormat(
+        "all rounds, %.0f requests/s over %d connections, ms (goal: at most 0.3 p50, 1 p99 added)",
+        options.rate, options.connections));
+}
+
+}  // namespace
+
+}  // namespace masticpass::measure
+
+// Measures the time that an entry VM adds to a request, against direct requests to the same backend server.
+int main(int argc, char** argv) {
+    CLI::App application("Measures the time that an entry VM adds to a request");
+    masticpass::measure::overhead_options options;
+    application.add_option("masticpass", options.programs.masticpass, "Path of masticpass")->required();
+    application.add_option("standin", options.programs.standin, "Path of masticpass_standin")->required();
+    application.add_option("--base-port", options.programs.base_port, "First of the loopback ports used");
+    application.add_option("--rate", options.rate, "Requests per second");
+    application.add_option("--connections", options.connections);
+    application.add_option("--rounds", options.rounds);
+    application.add_option("--seconds", options.seconds, "Length of each half of a round");
+    application.add_option("--seed", options.seed);
+    CLI11_PARSE(application, argc, argv);
+    try {
+        masticpass::measure::measure_overhead(options);
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/measure/support/configuration_spread.cpp
@@ -0,0 +1,115 @@
+#include "support/configuration_spread.h"
+
+#include <algorithm>
+#include <iostream>
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+
+#include "platform/etcd_messages.h"
+#include "support/health_responder.h"
+#include "support/table.h"
+
+namespace masticpass::measure {
+
+namespace {
+
+constexpr int backend_port_offset = 200;
+constexpr int slow_milliseconds = 500;
+constexpr absl::Duration poll_interval = absl::Milliseconds(10);
+constexpr absl::Duration spread_limit = absl::Seconds(30);
+
+struct spread {
+    std::vector<double> since_proposed;
+    std::vector<double> since_accepted;
+    int refused = 0;
+    int late = 0;
+};
+
+// The time when the last entry VM has the revision in force; InfiniteFuture if one has not within the limit.
+absl::Time in_force_everywhere(const process_fleet& processes, std::int64_t revision) {
+    const absl::Time end = absl::Now() + spread_limit;
+    std::vector<absl::Time> reached(static_cast<std::size_t>(processes.entry_count()),
+                                    absl::InfiniteFuture());
+    std::vector<std::thread> threads;
+    for (int entry = 0; entry < processes.entry_count(); ++entry) {
+        threads.emplace_back([&, entry] {
+            while (absl::Now() < end) {
+                if (processes.revision_in_force(entry) >= revision) {
+                    reached[static_cast<std::size_t>(entry)] = absl::Now();
+                    return;
+                }
+                absl::SleepFor(poll_interval);
+            }
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    return *std::max_element(reached.begin(), reached.end());
+}
+
+void make_change(const process_fleet& processes, int number, spread& result) {
+    const int entry = number % processes.entry_count();
+    const configuration_change change = processes.small_change(absl::StrCat("spread-", number));
+    const absl::Time proposed = absl::Now();
+    const auto answer = processes.operators(entry).propose_change(change);
+    if (!answer) {
+        ++result.refused;
+        return;
+    }
+    const absl::Time accepted = absl::Now();
+    const absl::Time reached = in_force_everywhere(processes, etcd::integer_member(*answer, "revision"));
+    if (reached == absl::InfiniteFuture()) {
+        ++result.late;
+        return;
+    }
+    result.since_proposed.push_back(absl::ToDoubleSeconds(reached - proposed));
+    result.since_accepted.push_back(absl::ToDoubleSeconds(reached - accepted));
+}
+
+std::string seconds(double value) {
+    return absl::StrFormat("%.3f", value);
+}
+
+double largest(const std::vector<double>& values) {
+    return values.empty() ? 0.0 : *std::max_element(values.begin(), values.end());
+}
+
+}  // namespace
+
+void measure_configuration_spread(const control_options& options, const std::vector<fleet_size>& sizes,
+                                  int changes) {
+    table rows({"VMs/pools", "store", "changes", "refused", "not in 30 s", "accepted p50", "accepted max",
+                "proposed p50", "proposed max"});
+    for (const fleet_size& size : sizes) {
+        fleet_options setup;
+        setup.fleet.vms = size.vms;
+        setup.fleet.pools = size.pools;
+        setup.fleet.first_backend_port = options.programs.base_port + backend_port_offset;
+        setup.entries = options.entries;
+        const health_responder responder(setup.fleet.first_backend_port, size.vms);
+        const process_fleet processes(options.programs, setup);
+        int number = 0;
+        for (const int delay : {0, slow_milliseconds}) {
+            processes.set_faults(absl::StrCat("{\"slow_ms\":", delay, "}"));
+            spread measured;
+            for (const int end = number + changes; number < end; ++number) {
+                make_change(processes, number, measured);
+            }
+            rows.add({absl::StrCat(size.vms, "/", size.pools), absl::StrCat(delay, " ms"),
+                      std::to_string(changes), std::to_string(measured.refused),
+                      std::to_string(measured.late), seconds(percentile(measured.since_accepted, 0.5)),
+                      seconds(largest(measured.since_accepted)),
+                      seconds(percentile(measured.since_proposed, 0.5)),
+                      seconds(largest(measured.since_proposed))});
+        }
+    }
+    rows.print(
+        absl::StrCat("seconds from the acceptance (or proposal) of a change until it is in force in all of ",
+                     options.entries, " entry VMs (goals: 2 s today, 10 s at the two-year size)"));
+}
+
+}  // namespace masticpass::measure
--- /dev/null
+++ b/measure/support/control_cost.cpp
@@ -0,0 +1,224 @@
+#include "support/control_cost.h"
+
+#include <algorithm>
+#include <iostream>
+#include <stdexcept>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/clock.h>
+
+#include "support/fleet_changes.h"
+#include "support/health_responder.h"
+#include "support/socket_traffic.h"
+#include "support/table.h"
+
+namespace masticpass::measure {
+
+namespace {
+
+constexpr int backend_port_offset = 200;
+constexpr int peer_port_digit = 1;
+constexpr int ports_per_entry = 10;
+constexpr absl::Duration settle_time = absl::Seconds(8);
+constexpr double bytes_per_kilobyte = 1000.0;
+
+// Everything that is counted, at one moment.
+struct sample {
+    absl::Time time;
+    std::vector<process_usage> entries;
+    traffic platform;
+    traffic peers;
+    double probes = 0.0;
+    double probe_bytes_sent = 0.0;
+    double probe_bytes_received = 0.0;
+    Json::Value calls;
+};
+
+// Rates of one entry VM, the mean over all, between two samples.
+struct rates {
+    double seconds = 0.0;
+    double core_percent = 0.0;
+    double worst_core_percent = 0.0;
+    double platform = 0.0;
+    double peers = 0.0;
+    double probes = 0.0;
+    double wire = 0.0;
+
+    double bytes() const { return platform + peers + probes; }
+};
+
+class control_run {
+public:
+    control_run(const control_options& options, const fleet_size& size)
+        : options_(options),
+          responder_(options.programs.base_port + backend_port_offset, size.vms),
+          traffic_(options.programs.base_port, options.programs.base_port + backend_port_offset - 1),
+          processes_(options.programs, setup(options, size)) {
+        absl::SleepFor(settle_time);
+    }
+
+    sample now() {
+        sample result;
+        result.time = absl::Now();
+        for (int entry = 0; entry < processes_.entry_count(); ++entry) {
+            result.entries.push_back(processes_.entry(entry).usage());
+        }
+        for (const auto& [port, bytes] : traffic_.by_port()) {
+            traffic* const sum = port == options_.programs.base_port         ? &result.platform
+                                 : port % ports_per_entry == peer_port_digit ? &result.peers
+                                                                             : nullptr;
+            if (sum != nullptr) {
+                sum->sent += bytes.sent;
+                sum->received += bytes.received;
+                sum->wire += bytes.wire;
+            }
+        }
+        result.probes = static_cast<double>(responder_.probes());
+        result.probe_bytes_received = static_cast<double>(responder_.bytes_received());
+        result.probe_bytes_sent = static_cast<double>(responder_.bytes_sent());
+        result.calls = processes_.platform_counters();
+        return result;
+    }
+
+    const process_fleet& processes() const { return processes_; }
+
+private:
+    static fleet_options setup(const control_options& options, const fleet_size& size) {
+        fleet_options result;
+        result.fleet.vms = size.vms;
+        result.fleet.pools = size.pools;
+        result.fleet.first_backend_port = options.programs.base_port + backend_port_offset;
+        result.entries = options.entries;
+        return result;
+    }
+
+    const control_options options_;
+    health_responder responder_;
+    socket_traffic traffic_;
+    process_fleet processes_;
+};
+
+rates between(const sample& before, const sample& after) {
+    rates result;
+    result.seconds = absl::ToDoubleSeconds(after.time - before.time);
+    const auto entries = static_cast<double>(after.entries.size());
+    for (std::size_t entry = 0; entry < after.entries.size(); ++entry) {
+        const absl::Duration used =
+            after.entries[entry].processor_time - before.entries[entry].processor_time;
+        const double percent = 100.0 * absl::ToDoubleSeconds(used) / result.seconds;
+        result.core_percent += percent / entries;
+        result.worst_core_percent = std::max(result.worst_core_percent, percent);
+    }
+    const double per_entry = 1.0 / (result.seconds * entries * bytes_per_kilobyte);
+    const traffic platform = after.platform - before.platform;
+    const traffic peers = after.peers - before.peers;
+    const double probes = after.probe_bytes_sent - before.probe_bytes_sent + after.probe_bytes_received -
+                          before.probe_bytes_received;
+    result.platform = (platform.sent + platform.received) * per_entry;
+    // Each byte between entry VMs is sent by one and received by another.
+    result.peers = 2.0 * (peers.sent + peers.received) * per_entry;
+    result.probes = probes * per_entry;
+    result.wire = (platform.wire + 2.0 * peers.wire) * per_entry;
+    return result;
+}
+
+// The cost at the true rate of changes, from that without changes and that at the faster rate.
+double at_true_rate(double idle, double fast, double factor) {
+    return idle + (fast - idle) / factor;
+}
+
+std::string number(double value) {
+    return absl::StrFormat("%.2f", value);
+}
+
+double largest_memory(const sample& taken) {
+    double result = 0.0;
+    for (const process_usage& usage : taken.entries) {
+        result = std::max(result, usage.resident_kilobytes);
+    }
+    return result / 1024.0;
+}
+
+void add_rates(table& rows, const std::string& size, const std::string& load, const rates& measured,
+               const sample& end) {
+    rows.add({size, load, number(measured.core_percent), number(measured.worst_core_percent),
+              number(largest_memory(end)), std::to_string(end.entries.front().threads),
+              number(measured.bytes()), number(measured.platform), number(measured.peers),
+              number(measured.probes)});
+}
+
+void add_calls(table& rows, const std::string& size, const std::string& load, const sample& before,
+               const sample& after) {
+    const double seconds = absl::ToDoubleSeconds(after.time - before.time);
+    for (const std::string& kind : after.calls.getMemberNames()) {
+        const Json::Value& earlier = before.calls[kind];
+        const auto rate = [&](const char* name) {
+            return (after.calls[kind][name].asDouble() -
+                    (earlier.isNull() ? 0.0 : earlier[name].asDouble())) /
+                   seconds;
+        };
+        rows.add({size, load, kind, number(rate("calls")),
+                  number(rate("bytes_received") / bytes_per_kilobyte),
+                  number(rate("bytes_sent") / bytes_per_kilobyte)});
+    }
+}
+
+}  // namespace
+
+std::vector<fleet_size> parse_sizes(const std::vector<std::string>& texts) {
+    std::vector<fleet_size> result;
+    for (const std::string& text : texts) {
+        const std::vector<std::string> parts = absl::StrSplit(text, ':');
+        fleet_size size;
+        if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], &size.vms) ||
+            !absl::SimpleAtoi(parts[1], &size.pools) || size.pools < 1 || size.vms < size.pools) {
+            throw std::runtime_error("not VMs:pools: " + text);
+        }
+        result.push_back(size);
+    }
+    return result;
+}
+
+void measure_control_cost(const control_options& options, const std::vector<fleet_size>& sizes) {
+    table costs({"VMs/pools", "changes", "core %", "worst %", "memory MB", "threads", "KB/s", "platform",
+                 "peers", "probes"});
+    table calls({"VMs/pools", "changes", "call", "calls/s", "KB/s received", "KB/s sent"});
+    for (const fleet_size& size : sizes) {
+        const std::string name = absl::StrCat(size.vms, "/", size.pools);
+        control_run run(options, size);
+        const sample start = run.now();
+        absl::SleepFor(absl::Seconds(options.seconds));
+        const sample quiet = run.now();
+        const change_counts made =
+            make_changes(run.processes(), size.vms, options.change_factor, absl::Seconds(options.seconds));
+        const sample end = run.now();
+        const rates idle = between(start, quiet);
+        const rates fast = between(quiet, end);
+        add_rates(costs, name, "none", idle, quiet);
+        add_rates(costs, name, absl::StrCat("x", options.change_factor), fast, end);
+        rates scaled;
+        scaled.core_percent = at_true_rate(idle.core_percent, fast.core_percent, options.change_factor);
+        scaled.worst_core_percent =
+            at_true_rate(idle.worst_core_percent, fast.worst_core_percent, options.change_factor);
+        scaled.platform = at_true_rate(idle.platform, fast.platform, options.change_factor);
+        scaled.peers = at_true_rate(idle.peers, fast.peers, options.change_factor);
+        scaled.probes = at_true_rate(idle.probes, fast.probes, options.change_factor);
+        add_rates(costs, name, "x1 (computed)", scaled, end);
+        add_calls(calls, name, "none", start, quiet);
+        add_calls(calls, name, absl::StrCat("x", options.change_factor), quiet, end);
+        std::cout << name << ": " << made.accepted << " of " << made.proposed << " changes accepted, "
+                  << made.drained << " of " << made.drains << " drains started, in " << number(fast.seconds)
+                  << " s; " << number((quiet.probes - start.probes) / idle.seconds)
+                  << " probes/s in all; with headers of IP and TCP " << number(idle.wire)
+                  << " KB/s without changes (without probes)\n";
+    }
+    std::cout << '\n';
+    costs.print(absl::StrCat("control cost of one entry VM, mean of ", options.entries,
+                             " (goals: 1.8% of a core, 32 MB, 28 KB/s)"));
+    calls.print("calls to the platform by all entry VMs");
+}
+
+}  // namespace masticpass::measure
--- /dev/null
+++ b/measure/support/fleet_changes.h
@@ -0,0 +1,23 @@
+#ifndef MASTICPASS_MEASURE_FLEET_CHANGES_H
+#define MASTICPASS_MEASURE_FLEET_CHANGES_H
+
+#include <absl/time/time.h>
+
+#include "support/process_fleet.h"
+
+namespace masticpass::measure {
+
+struct change_counts {
+    int proposed = 0;
+    int accepted = 0;
+    int drains = 0;
+    int drained = 0;
+};
+
+// Makes configuration changes and drains VMs for the duration, at `factor` times the two-year rate: 3,700
+// changes a day, and drains, each of which writes a pool record three times, for 2,400 writes a day.
+change_counts make_changes(const process_fleet& processes, int vms, double factor, absl::Duration duration);
+
+}  // namespace masticpass::measure
+
+#endif
--- /dev/null
+++ b/measure/support/once_calls.h
@@ -0,0 +1,22 @@
+#ifndef MASTICPASS_MEASURE_ONCE_CALLS_H
+#define MASTICPASS_MEASURE_ONCE_CALLS_H
+
+#include <cstdint>
+
+#include "support/process_fleet.h"
+
+namespace masticpass::measure {
+
+struct once_run_options {
+    double rate = 2000.0;
+    int seconds = 5;
+    std::uint64_t seed = 1;
+};
+
+// Prints the calls to the store during a run of requests that must not be repeated, beside one write for
+// each request.
+void measure_once_calls(const fleet_programs& programs, const once_run_options& options);
+
+}  // namespace masticpass::measure
+
+#endif
