Send only the service loads that changed in heartbeats

Cause: with 181 services each heartbeat carried the whole load list of 13 KB, in both directions of every exchange. Ruled out: health probes (24 KB/s) and the platform (0.3 KB/s), which are counted apart. Conclusion: half of the heartbeats still carry the whole list. Both ends of a pair start exchanges, so an answer is not yet acknowledged when its sender starts the next exchange.

--- a/source/agent/membership_agent.cpp
+++ b/source/agent/membership_agent.cpp
@@ -88,7 +88,8 @@
 }
 
 void membership_agent::exchange(const std::string& address) {
-    const heartbeat own = events_.own_heartbeat();
+    heartbeat own = events_.own_heartbeat();
+    loads_.reduce(address, own);
     const auto answer = peers_.exchange_heartbeat(address, own);
     if (!answer) {
         metrics_.count({"masticpass_heartbeat_failures_total", "reason",
@@ -131,7 +132,8 @@
     }
 }
 
-bool membership_agent::accept(const heartbeat& beat) {
+bool membership_agent::accept(heartbeat beat) {
+    loads_.complete(beat);
     std::optional<incarnation_id> replaced;
     {
         const absl::MutexLock lock(&mutex_);
@@ -172,7 +174,9 @@
     if (beat.incarnation != self_) {
         accept(beat);
     }
-    return events_.own_heartbeat();
+    heartbeat own = events_.own_heartbeat();
+    loads_.reduce(beat.address, own);
+    return own;
 }
 
 std::vector<record> membership_agent::records_after(std::uint64_t revision) {
--- a/source/agent/membership_agent.h
+++ b/source/agent/membership_agent.h
@@ -16,6 +16,7 @@
 #include "agent/record_cache.h"
 #include "common/clock.h"
 #include "decision/membership/membership_view.h"
+#include "peer/load_exchange.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
 #include "settings/settings.h"
@@ -68,7 +69,7 @@
 private:
     void exchange(const std::string& address);
     void note_refused(const std::string& address);
-    bool accept(const heartbeat& beat);
+    bool accept(heartbeat beat);
     void reconcile(const std::string& address, const heartbeat& own, const heartbeat& peer);
 
     const settings& configured_;
@@ -80,6 +81,7 @@
     metrics_registry& metrics_;
     const membership_events events_;
     const absl::Duration silence_limit_;
+    load_exchange loads_;
 
     mutable absl::Mutex mutex_;
     membership_view view_ ABSL_GUARDED_BY(mutex_);
--- a/source/peer/heartbeat.cpp
+++ b/source/peer/heartbeat.cpp
@@ -135,6 +135,9 @@
     value["store"] = beat.store_reachable;
     value["stopping"] = beat.stopping;
     value["epoch"] = Json::UInt64{beat.allotment_epoch};
+    value["loads_number"] = Json::UInt64{beat.loads_number};
+    value["loads_base"] = Json::UInt64{beat.loads_base};
+    value["loads_received"] = Json::UInt64{beat.loads_received};
     append_lists(beat, value);
     return value;
 }
@@ -152,6 +155,9 @@
     beat.store_reachable = reader.flag("store");
     beat.stopping = reader.flag("stopping");
     beat.allotment_epoch = reader.number("epoch");
+    beat.loads_number = reader.number("loads_number");
+    beat.loads_base = reader.number("loads_base");
+    beat.loads_received = reader.number("loads_received");
     reader.elements("unsettled", [&beat](const Json::Value& element) {
         if (!element.isString()) {
             return false;
--- a/source/peer/heartbeat.h
+++ b/source/peer/heartbeat.h
@@ -19,6 +19,8 @@
     int queued = 0;
     // Slots that its recent requests would have used.
     double demand_slots = 0;
+
+    friend bool operator==(const service_load&, const service_load&) = default;
 };
 
 // Why an entry VM sends no work to a backend server.
@@ -55,6 +57,11 @@
     // Instances on which its requests in flight exceed its slots of that epoch.
     std::vector<vm_id> unsettled;
     std::vector<service_load> services;
+    // Number of the update that `services` is, the update that it changes (0: it is the whole list), and the
+    // last update that was received from the peer. See load_exchange.
+    std::uint64_t loads_number = 0;
+    std::uint64_t loads_base = 0;
+    std::uint64_t loads_received = 0;
     std::vector<server_observation> observations;
     std::vector<drain_acknowledgement> drained;
 };
--- /dev/null
+++ b/tests/peer/load_exchange_test.cpp
@@ -0,0 +1,121 @@
+#include "peer/load_exchange.h"
+
+#include <doctest/doctest.h>
+
+namespace masticpass {
+
+namespace {
+
+heartbeat beat_of(const std::string& address, const std::string& incarnation) {
+    heartbeat beat;
+    beat.address = address;
+    beat.incarnation = incarnation_id(incarnation);
+    beat.services = {{service_name("proofs"), 8, 0, 0.0}, {service_name("prints"), 4, 0, 0.0}};
+    return beat;
+}
+
+// Two entry VMs that exchange heartbeats.
+struct exchange_pair {
+    load_exchange a;
+    load_exchange b;
+    heartbeat beat_a = beat_of("a", "1");
+    heartbeat beat_b = beat_of("b", "1");
+
+    // Returns how many loads were sent to B; B sees `seen`.
+    std::size_t a_to_b() {
+        heartbeat sent = beat_a;
+        a.reduce("b", sent);
+        const std::size_t count = sent.services.size();
+        b.complete(sent);
+        seen = sent.services;
+        return count;
+    }
+    void b_to_a() {
+        heartbeat sent = beat_b;
+        b.reduce("a", sent);
+        a.complete(sent);
+    }
+
+    std::vector<service_load> seen;
+};
+
+}  // namespace
+
+// Guards against whole lists in every heartbeat, which exceed the bytes that control may use.
+TEST_CASE("only changed loads are sent once the peer holds the list") {
+    exchange_pair pair;
+    CHECK(pair.a_to_b() == 2);
+    pair.b_to_a();
+    CHECK(pair.a_to_b() == 0);
+    CHECK(pair.seen.size() == 2);
+    pair.b_to_a();
+    pair.beat_a.services[0].free_slots = 3;
+    CHECK(pair.a_to_b() == 1);
+    REQUIRE(pair.seen.size() == 2);
+    CHECK(pair.seen[1].free_slots == 3);
+}
+
+// Guards against a receiver that keeps an old load for ever because the one heartbeat with the change was
+// lost.
+TEST_CASE("a lost heartbeat is followed by the whole list") {
+    exchange_pair pair;
+    pair.a_to_b();
+    pair.b_to_a();
+    pair.beat_a.services[0].free_slots = 0;
+    heartbeat lost = pair.beat_a;
+    pair.a.reduce("b", lost);
+    pair.b_to_a();
+    CHECK(pair.a_to_b() == 2);
+    REQUIRE(pair.seen.size() == 2);
+    CHECK(pair.seen[1].free_slots == 0);
+}
+
+// Guards against changes that are applied to a list the receiver does not hold.
+TEST_CASE("changes of an update that was not received are not applied") {
+    exchange_pair pair;
+    pair.a_to_b();
+    pair.b_to_a();
+    heartbeat first = pair.beat_a;
+    pair.a.reduce("b", first);
+    heartbeat whole = pair.beat_a;
+    whole.services[0].free_slots = 1;
+    pair.a.reduce("b", whole);
+    pair.b.complete(whole);
+    pair.b.complete(first);
+    REQUIRE(first.services.size() == 2);
+    CHECK(first.services[1].free_slots == 1);
+}
+
+// Guards against changes sent to a restarted peer, which holds nothing, and against old loads of one.
+TEST_CASE("a new incarnation gets the whole list") {
+    exchange_pair pair;
+    pair.a_to_b();
+    pair.b_to_a();
+    SUBCASE("the receiver restarted") {
+        heartbeat restarted = beat_of("b", "2");
+        load_exchange empty;
+        empty.reduce("a", restarted);
+        pair.a.complete(restarted);
+        CHECK(pair.a_to_b() == 2);
+    }
+    SUBCASE("the sender restarted with fewer services") {
+        heartbeat restarted = beat_of("a", "2");
+        restarted.services.pop_back();
+        load_exchange empty;
+        empty.reduce("b", restarted);
+        pair.b.complete(restarted);
+        CHECK(restarted.services.size() == 1);
+    }
+}
+
+// Guards against services that stay in the peer's view after they were removed.
+TEST_CASE("a removed service leads to the whole list") {
+    exchange_pair pair;
+    pair.a_to_b();
+    pair.b_to_a();
+    pair.beat_a.services.pop_back();
+    CHECK(pair.a_to_b() == 1);
+    CHECK(pair.seen.size() == 1);
+}
+
+}  // namespace masticpass
