Exchange heartbeats once a second for each pair of entry VMs

Cause: both ends of a pair started an exchange each second, although one exchange carries a heartbeat each way. The answer of one exchange was not yet acknowledged when the other one started, so load lists were sent whole again. Ruled out: loads that change without requests (the list is equal from one second to the next). The end with the lower address starts exchanges. The other end does so after 1.5 intervals without a heartbeat, before a stop, or when it is behind and has to pull.

--- a/source/agent/membership_agent.cpp
+++ b/source/agent/membership_agent.cpp
@@ -12,6 +12,8 @@
 
 // An entry VM counts as alive for this many heartbeat intervals after its last heartbeat.
 constexpr int silence_limit_intervals = 4;
+// The end of a pair that does not start exchanges does so after this many intervals without a heartbeat.
+constexpr double passive_intervals = 1.5;
 constexpr absl::Duration process_check_time_limit = absl::Milliseconds(300);
 
 entry_observation to_observation(const heartbeat& beat) {
@@ -83,11 +85,29 @@
 void membership_agent::exchange_now() {
     const absl::MutexLock lock(&links_mutex_);
     for (const auto& [address, link] : links_) {
+        {
+            const absl::MutexLock state_lock(&mutex_);
+            requested_.insert(address);
+        }
         link->wake();
     }
 }
 
+// An exchange carries a heartbeat each way, so one of the two ends starts it: the one with the lower address.
+bool membership_agent::must_exchange(const std::string& address) {
+    const absl::MutexLock lock(&mutex_);
+    if (requested_.erase(address) > 0 || own_address_ < address) {
+        return true;
+    }
+    const auto heard = heard_.find(address);
+    return heard == heard_.end() ||
+           clock_.now() - heard->second > configured_.timing.heartbeat * passive_intervals;
+}
+
 void membership_agent::exchange(const std::string& address) {
+    if (!must_exchange(address)) {
+        return;
+    }
     heartbeat own = events_.own_heartbeat();
     loads_.reduce(address, own);
     const auto answer = peers_.exchange_heartbeat(address, own);
@@ -145,6 +165,7 @@
             replaced = before->observation.incarnation;
         }
         latest_[beat.entry] = beat;
+        heard_[beat.address] = clock_.now();
     }
     if (replaced) {
         events_.gone(*replaced);
@@ -175,6 +196,12 @@
         accept(beat);
     }
     heartbeat own = events_.own_heartbeat();
+    if (beat.configuration_revision > own.configuration_revision ||
+        beat.record_revision > own.record_revision) {
+        // This end is behind; its own exchange at the next interval pulls what it lacks.
+        const absl::MutexLock lock(&mutex_);
+        requested_.insert(beat.address);
+    }
     loads_.reduce(beat.address, own);
     return own;
 }
--- a/source/agent/membership_agent.h
+++ b/source/agent/membership_agent.h
@@ -68,6 +68,7 @@
 
 private:
     void exchange(const std::string& address);
+    bool must_exchange(const std::string& address);
     void note_refused(const std::string& address);
     bool accept(heartbeat beat);
     void reconcile(const std::string& address, const heartbeat& own, const heartbeat& peer);
@@ -86,6 +87,10 @@
     mutable absl::Mutex mutex_;
     membership_view view_ ABSL_GUARDED_BY(mutex_);
     std::map<entry_id, heartbeat> latest_ ABSL_GUARDED_BY(mutex_);
+    // When a heartbeat from each address was last received.
+    std::map<std::string, absl::Time> heard_ ABSL_GUARDED_BY(mutex_);
+    // Addresses with which the next exchange takes place even if the other end would start it.
+    std::set<std::string> requested_ ABSL_GUARDED_BY(mutex_);
 
     absl::Mutex links_mutex_;
     bool stopped_ ABSL_GUARDED_BY(links_mutex_) = false;
