Do no work for services without waiting requests or ejected servers

Cause: once a second each service looked up every server of the directory to find ejected ones, which copied 1,400 entries for each of 181 services. 200 times a second the table of services was copied and every scheduler advanced, although nothing waited. Ruled out: the kernel's share and the heartbeats (perf record shows allocation, string comparison and map traversal). The scheduler's prices and shares are functions of the time since their last change, so an idle service needs no tick.

--- a/source/decision/serving/server_health.cpp
+++ b/source/decision/serving/server_health.cpp
@@ -50,6 +50,19 @@
     }
 }
 
+std::vector<vm_id> server_health::ejected_servers() const {
+    std::vector<vm_id> result;
+    if (ejected_ == 0) {
+        return result;
+    }
+    for (const auto& [server, state] : servers_) {
+        if (state.ejected) {
+            result.push_back(server);
+        }
+    }
+    return result;
+}
+
 bool server_health::is_ejected(const vm_id& server) const {
     const auto found = servers_.find(server);
     return found != servers_.end() && found->second.ejected;
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -287,7 +287,8 @@
 }
 
 verdict request_router::cancel(const request_id& id) {
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         switch (service->shard->cancel(id)) {
             case cancel_result::removed:
                 return verdict::not_run;
@@ -310,7 +311,8 @@
     {
         const absl::MutexLock lock(&services_mutex_);
         configured_ = true;
-        removed = std::exchange(services_, {});
+        removed = *services_;
+        auto present_services = std::make_shared<service_table>();
         for (const routed_service& service : services) {
             const auto present = removed.extract(service.service);
             std::shared_ptr<served> entry = present.empty() ? std::make_shared<served>() : present.mapped();
@@ -319,8 +321,9 @@
             }
             entry->urgent = service.urgent;
             entry->shard->update_instances(service.instances);
-            services_.emplace(service.service, std::move(entry));
+            present_services->emplace(service.service, std::move(entry));
         }
+        services_ = std::move(present_services);
     }
     for (const auto& [name, service] : removed) {
         service->shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
@@ -328,41 +331,41 @@
 }
 
 void request_router::tick() {
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         service->shard->tick();
     }
 }
 
 void request_router::check_ejected_servers() {
     std::set<vm_id> ejected;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         while (const auto vm = service->shard->next_probe()) {
             const auto server = parts_.directory.find(*vm);
             const bool healthy = server && parts_.backends.probe(server->address, ejected_probe_time_limit) ==
                                                probe_result::healthy;
             service->shard->probe_ended(*vm, healthy);
         }
-        for (const server_state& server : parts_.directory.servers()) {
-            if (service->shard->is_ejected(server.vm)) {
-                ejected.insert(server.vm);
-            }
+        for (vm_id& vm : service->shard->ejected_servers()) {
+            ejected.insert(std::move(vm));
         }
     }
-    for (const server_state& server : parts_.directory.servers()) {
-        parts_.directory.set_ejected(server.vm, ejected.contains(server.vm));
-    }
+    parts_.directory.set_ejected(ejected);
 }
 
 void request_router::begin_stop() {
     stopping_ = true;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         service->shard->refuse_queued(refusal_reason::stopping, "this entry VM is stopping");
     }
 }
 
 std::vector<routed_load> request_router::loads() const {
     std::vector<routed_load> result;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         result.push_back({name, service->shard->load()});
     }
     return result;
@@ -370,11 +373,11 @@
 
 std::shared_ptr<request_router::served> request_router::find(const service_name& service) const {
     const absl::MutexLock lock(&services_mutex_);
-    const auto found = services_.find(service);
-    return found == services_.end() ? nullptr : found->second;
+    const auto found = services_->find(service);
+    return found == services_->end() ? nullptr : found->second;
 }
 
-request_router::service_table request_router::table() const {
+std::shared_ptr<const request_router::service_table> request_router::table() const {
     const absl::MutexLock lock(&services_mutex_);
     return services_;
 }
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -102,7 +102,7 @@
                                                                 served& service, const dispatch& work);
     request_description describe(const service_request& request, const served& service);
     std::shared_ptr<served> find(const service_name& service) const;
-    service_table table() const;
+    std::shared_ptr<const service_table> table() const;
 
     const router_parts parts_;
     std::atomic<bool> stopping_ = false;
@@ -110,7 +110,9 @@
     std::atomic<std::uint64_t> next_local_id_ = 1;
     std::atomic<std::uint64_t> next_attempt_ = 1;
     mutable absl::Mutex services_mutex_;
-    service_table services_ ABSL_GUARDED_BY(services_mutex_);
+    // Replaced as a whole, so that readers need no copy.
+    std::shared_ptr<const service_table> services_ ABSL_GUARDED_BY(services_mutex_) =
+        std::make_shared<const service_table>();
     bool configured_ ABSL_GUARDED_BY(services_mutex_) = false;
     absl::Mutex once_mutex_;
     once_registry once_ ABSL_GUARDED_BY(once_mutex_);
--- a/source/routing/server_directory.cpp
+++ b/source/routing/server_directory.cpp
@@ -43,11 +43,10 @@
     }
 }
 
-void server_directory::set_ejected(const vm_id& vm, bool ejected) {
+void server_directory::set_ejected(const std::set<vm_id>& ejected) {
     const absl::MutexLock lock(&mutex_);
-    const auto found = servers_.find(vm);
-    if (found != servers_.end()) {
-        found->second.ejected = ejected;
+    for (auto& [vm, server] : servers_) {
+        server.ejected = ejected.contains(vm);
     }
 }
 
--- a/source/routing/server_directory.h
+++ b/source/routing/server_directory.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +45,8 @@
     void mark_leaving(const vm_id& vm, const boot_id& boot);
 
     void set_unreachable(const vm_id& vm, bool unreachable);
-    void set_ejected(const vm_id& vm, bool ejected);
+    // Sets the ejected servers; all others are not ejected.
+    void set_ejected(const std::set<vm_id>& ejected);
 
     std::optional<server_state> find(const vm_id& vm) const;
     std::vector<server_state> servers() const;
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -102,9 +102,9 @@
     apply_instances(now);
 }
 
-bool service_shard::is_ejected(const vm_id& server) const {
+std::vector<vm_id> service_shard::ejected_servers() const {
     const absl::MutexLock lock(&mutex_);
-    return health_.is_ejected(server);
+    return health_.ejected_servers();
 }
 
 void service_shard::refuse_queued(refusal_reason reason, const std::string& message) {
@@ -116,7 +116,9 @@
 
 void service_shard::tick() {
     const absl::MutexLock lock(&mutex_);
-    advance(clock_.now());
+    if (!waiters_.empty()) {
+        advance(clock_.now());
+    }
 }
 
 shard_load service_shard::load() const {
--- a/source/routing/service_shard.h
+++ b/source/routing/service_shard.h
@@ -46,7 +46,7 @@
     // An ejected server that is to be probed now; the caller reports the result with probe_ended.
     std::optional<vm_id> next_probe();
     void probe_ended(const vm_id& server, bool succeeded);
-    bool is_ejected(const vm_id& server) const;
+    std::vector<vm_id> ejected_servers() const;
 
     // Blocks until a request that was queued again gets a slot.
     tl::expected<dispatch, refusal> wait_again(const request_id& id);
@@ -57,7 +57,8 @@
     // Refuses what is queued.
     void refuse_queued(refusal_reason reason, const std::string& message);
 
-    // Ends requests whose deadline cannot be met any more and fills free slots; to be called often.
+    // Ends requests whose deadline cannot be met any more and fills free slots; to be called often. Does
+    // nothing while no request waits.
     void tick();
 
     shard_load load() const;
