Rebuild the service table only when its inputs changed

Cause: ten times a second all pool records were copied and the service table, the addresses and the capacities of all instances were built anew. Ruled out: changes of the allotment without a record change; the ledger now counts announcements and proofs that can change the usable slots. Pool records, server states and slots have version counters, and the pool records are shared without a copy.

--- a/source/agent/configuration_agent.cpp
+++ b/source/agent/configuration_agent.cpp
@@ -116,7 +116,8 @@
 
 configuration_usage configuration_agent::usage() const {
     configuration_usage result;
-    for (const auto& [pool, stored] : fleet_.pools()) {
+    const auto pools = fleet_.pools();
+    for (const auto& [pool, stored] : *pools) {
         result.pool_vms[pool] = pool_size(stored.record);
     }
     return result;
--- a/source/agent/fleet_state.cpp
+++ b/source/agent/fleet_state.cpp
@@ -16,6 +16,7 @@
     } else if (zone_of_allotment_key(changed.key)) {
         take_allotment(changed);
     }
+    ++version_;
 }
 
 void fleet_state::reject(const record& changed) {
@@ -48,7 +49,9 @@
 void fleet_state::take_pool(const record& changed) {
     if (changed.value.empty()) {
         const absl::MutexLock lock(&mutex_);
-        pools_.erase(pool_name(changed.key.substr(pool_key_prefix.size())));
+        auto remaining = std::make_shared<pool_map>(*pools_);
+        remaining->erase(pool_name(changed.key.substr(pool_key_prefix.size())));
+        pools_ = std::move(remaining);
         return;
     }
     auto parsed = parse_pool_record(changed.value);
@@ -58,7 +61,9 @@
     }
     const absl::MutexLock lock(&mutex_);
     const pool_name pool = parsed->pool;
-    pools_[pool] = {static_cast<std::int64_t>(changed.revision), std::move(*parsed)};
+    auto present = std::make_shared<pool_map>(*pools_);
+    (*present)[pool] = {static_cast<std::int64_t>(changed.revision), std::move(*parsed)};
+    pools_ = std::move(present);
 }
 
 void fleet_state::take_allotment(const record& changed) {
@@ -92,7 +97,7 @@
     return gate_.refused_older();
 }
 
-std::map<pool_name, stored_pool_record> fleet_state::pools() const {
+std::shared_ptr<const fleet_state::pool_map> fleet_state::pools() const {
     const absl::MutexLock lock(&mutex_);
     return pools_;
 }
--- a/source/agent/fleet_state.h
+++ b/source/agent/fleet_state.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPASS_AGENT_FLEET_STATE_H
 #define MASTICPASS_AGENT_FLEET_STATE_H
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -21,6 +22,8 @@
 // from the store and from peers. Thread safety: all methods may be called from any thread.
 class fleet_state {
 public:
+    using pool_map = std::map<pool_name, stored_pool_record>;
+
     fleet_state(const zone_name& zone, metrics_registry& metrics) : zone_(zone), metrics_(metrics) {}
 
     // Takes a record that became newer. One that cannot be read is counted and ignored, and the last good one
@@ -33,13 +36,16 @@
     std::int64_t refused_older_revisions() const;
 
     // All pool records with the store revisions at which they were read.
-    std::map<pool_name, stored_pool_record> pools() const;
+    std::shared_ptr<const pool_map> pools() const;
 
     // Allotments by zone, for those zones that have one.
     std::map<zone_name, allotment_record> allotments() const;
     // The allotment of the own zone; epoch 0 if there is none.
     allotment_record own_allotment() const;
 
+    // Increases with every record taken.
+    std::uint64_t version() const { return version_; }
+
 private:
     void take_configuration(const record& changed);
     void take_pool(const record& changed);
@@ -48,10 +54,12 @@
 
     const zone_name zone_;
     metrics_registry& metrics_;
+    std::atomic<std::uint64_t> version_ = 0;
     mutable absl::Mutex mutex_;
     revision_gate gate_ ABSL_GUARDED_BY(mutex_);
     std::shared_ptr<const configuration_record> configuration_ ABSL_GUARDED_BY(mutex_);
-    std::map<pool_name, stored_pool_record> pools_ ABSL_GUARDED_BY(mutex_);
+    // Replaced as a whole, so that readers need no copy.
+    std::shared_ptr<const pool_map> pools_ ABSL_GUARDED_BY(mutex_) = std::make_shared<const pool_map>();
     std::map<zone_name, allotment_record> allotments_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -83,7 +83,7 @@
     result.self = self_;
     result.next_sequence = next_sequence_;
     result.now = absl::Now();
-    result.pools = fleet_.pools();
+    result.pools = *fleet_.pools();
     if (const auto configuration = fleet_.configuration()) {
         add_declarations(configuration->configuration, result);
     }
--- a/source/agent/service_table_agent.cpp
+++ b/source/agent/service_table_agent.cpp
@@ -26,14 +26,24 @@
       thread_(update_interval, [this] { update(); }) {}
 
 void service_table_agent::update() {
+    // Taken before the inputs, so that a change during the update leads to another one.
+    const input_versions present = versions();
+    if (applied_ == present) {
+        return;
+    }
+    applied_ = present;
     const auto pools = fleet_.pools();
     ledger_.apply(fleet_.own_allotment());
-    set_servers(pools);
+    set_servers(*pools);
     if (const auto configuration = fleet_.configuration()) {
-        router_.set_services(services(*configuration, pools));
+        router_.set_services(services(*configuration, *pools));
     }
 }
 
+service_table_agent::input_versions service_table_agent::versions() const {
+    return {fleet_.version(), directory_.version(), ledger_.version()};
+}
+
 void service_table_agent::set_servers(const std::map<pool_name, stored_pool_record>& pools) {
     ledger_.set_addresses(directory_.addresses());
     std::set<vm_id> blocked;
--- a/source/agent/service_table_agent.h
+++ b/source/agent/service_table_agent.h
@@ -31,7 +31,16 @@
     std::vector<drain_acknowledgement> drained() const;
 
 private:
+    struct input_versions {
+        std::uint64_t fleet = 0;
+        std::uint64_t directory = 0;
+        std::uint64_t ledger = 0;
+
+        friend bool operator==(const input_versions&, const input_versions&) = default;
+    };
+
     void update();
+    input_versions versions() const;
     void set_servers(const std::map<pool_name, stored_pool_record>& pools);
     std::vector<routed_service> services(const configuration_record& configuration,
                                          const std::map<pool_name, stored_pool_record>& pools);
@@ -45,6 +54,8 @@
     request_router& router_;
     mutable absl::Mutex mutex_;
     std::vector<drain_acknowledgement> draining_ ABSL_GUARDED_BY(mutex_);
+    // Used by the thread only.
+    std::optional<input_versions> applied_;
     periodic_thread thread_;
 };
 
--- a/source/application/entry_fleet_service.cpp
+++ b/source/application/entry_fleet_service.cpp
@@ -98,7 +98,8 @@
 }
 
 operations_result<pool_view> entry_fleet_service::show_pool(const pool_name& pool) {
-    const auto pools = parts_.fleet.pools();
+    const auto held = parts_.fleet.pools();
+    const fleet_state::pool_map& pools = *held;
     const auto found = pools.find(pool);
     if (found == pools.end()) {
         return tl::unexpected(
--- a/source/routing/server_directory.cpp
+++ b/source/routing/server_directory.cpp
@@ -4,6 +4,7 @@
 
 void server_directory::update(const vm_listing& listing) {
     const absl::MutexLock lock(&mutex_);
+    ++version_;
     for (const listed_vm& listed : listing.vms) {
         if (listed.state == vm_state::terminated) {
             servers_.erase(listed.vm);
@@ -31,7 +32,7 @@
     const absl::MutexLock lock(&mutex_);
     const auto found = servers_.find(vm);
     if (found != servers_.end() && found->second.boot == boot) {
-        found->second.leaving = true;
+        set(found->second.leaving, true);
     }
 }
 
@@ -39,14 +40,21 @@
     const absl::MutexLock lock(&mutex_);
     const auto found = servers_.find(vm);
     if (found != servers_.end()) {
-        found->second.unreachable = unreachable;
+        set(found->second.unreachable, unreachable);
     }
 }
 
 void server_directory::set_ejected(const std::set<vm_id>& ejected) {
     const absl::MutexLock lock(&mutex_);
     for (auto& [vm, server] : servers_) {
-        server.ejected = ejected.contains(vm);
+        set(server.ejected, ejected.contains(vm));
+    }
+}
+
+void server_directory::set(bool& flag, bool value) {
+    if (flag != value) {
+        flag = value;
+        ++version_;
     }
 }
 
--- a/source/routing/server_directory.h
+++ b/source/routing/server_directory.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPASS_ROUTING_SERVER_DIRECTORY_H
 #define MASTICPASS_ROUTING_SERVER_DIRECTORY_H
 
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,11 +50,17 @@
     // Sets the ejected servers; all others are not ejected.
     void set_ejected(const std::set<vm_id>& ejected);
 
+    // Increases with every change of a server.
+    std::uint64_t version() const { return version_; }
+
     std::optional<server_state> find(const vm_id& vm) const;
     std::vector<server_state> servers() const;
     std::map<vm_id, std::string> addresses() const;
 
 private:
+    void set(bool& flag, bool value) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    std::atomic<std::uint64_t> version_ = 0;
     mutable absl::Mutex mutex_;
     std::map<vm_id, server_state> servers_ ABSL_GUARDED_BY(mutex_);
 };
--- a/source/routing/slot_ledger.cpp
+++ b/source/routing/slot_ledger.cpp
@@ -12,17 +12,26 @@
 
 void slot_ledger::apply(const allotment_record& record) {
     const absl::MutexLock lock(&mutex_);
+    const std::uint64_t before = allotment_.epoch();
     allotment_.apply(record);
+    version_ += allotment_.epoch() != before ? 1 : 0;
 }
 
 void slot_ledger::announced(const incarnation_id& sender, const settlement& announcement) {
     const absl::MutexLock lock(&mutex_);
     allotment_.announced(sender, announcement);
+    settlement& last = announced_[sender];
+    if (last.epoch != announcement.epoch || last.unsettled != announcement.unsettled) {
+        last = announcement;
+        ++version_;
+    }
 }
 
 void slot_ledger::proved_gone(const incarnation_id& incarnation) {
     const absl::MutexLock lock(&mutex_);
     allotment_.proved_gone(incarnation);
+    announced_.erase(incarnation);
+    ++version_;
 }
 
 settlement slot_ledger::announcement() {
--- a/source/routing/slot_ledger.h
+++ b/source/routing/slot_ledger.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPASS_ROUTING_SLOT_LEDGER_H
 #define MASTICPASS_ROUTING_SLOT_LEDGER_H
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -35,6 +36,8 @@
     void set_blocked(const std::set<vm_id>& blocked);
 
     std::uint64_t epoch() const;
+    // Increases when the slots that may be used can have changed.
+    std::uint64_t version() const { return version_; }
     int usable_slots(const vm_id& instance);
     [[nodiscard]] bool acquire_slot(const vm_id& instance);
     void release_slot(const vm_id& instance);
@@ -50,8 +53,11 @@
     void release_connection(std::string_view address) override;
 
 private:
+    std::atomic<std::uint64_t> version_ = 0;
     mutable absl::Mutex mutex_;
     slot_allotment allotment_ ABSL_GUARDED_BY(mutex_);
+    // The last announcement of each other entry VM.
+    absl::flat_hash_map<incarnation_id, settlement> announced_ ABSL_GUARDED_BY(mutex_);
     std::set<vm_id> blocked_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<vm_id, int> in_flight_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<std::string, vm_id> instances_ ABSL_GUARDED_BY(mutex_);
