--- a/measure/support/placement_strategies.cpp
+++ b/measure/support/placement_strategies.cpp
@@ -185,14 +185,18 @@
         pool.budget.max_unavailable = static_cast<int>(vms.size());
         pool.sustained_slots = planned_slots_[index];
     }
+    for (std::size_t index = vms_.size(); index < vms.size(); ++index) {
+        const auto& vm = vms[index];
+        vms_.push_back({vm_id(std::to_string(index)), zone_name(std::to_string(vm.zone)),
+                        rack_name(std::to_string(vm.rack))});
+    }
     for (std::size_t index = 0; index < vms.size(); ++index) {
         const auto& vm = vms[index];
         const auto state = vm.failed           ? placement_vm_state::unavailable
                            : vm.moving(second) ? placement_vm_state::incoming
                                                : placement_vm_state::serving;
-        pools[static_cast<std::size_t>(vm.pool)].vms.push_back({vm_id(std::to_string(index)),
-                                                                zone_name(std::to_string(vm.zone)),
-                                                                rack_name(std::to_string(vm.rack)), state});
+        vms_[index].state = state;
+        pools[static_cast<std::size_t>(vm.pool)].vms.push_back(vms_[index]);
     }
     for (auto& pool : pools) {
         planner_.update_pool(std::move(pool));
--- a/measure/support/placement_strategies.h
+++ b/measure/support/placement_strategies.h
@@ -70,6 +70,8 @@
     placement_planner planner_;
     std::vector<service_name> services_;
     std::vector<double> planned_slots_;
+    // Name, zone and rack of each VM, which never change.
+    std::vector<placement_vm> vms_;
     int buffer_vms_ = 0;
 };
 
