Plan placement in every entry VM and start moves from one

Each entry VM samples the reported demand and plans, so that a new owner knows how long a pool has been short; the rendezvous owner starts the moves in the source pool's record, and the pools' agents carry them on.

--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -87,18 +87,45 @@
     if (const auto configuration = fleet_.configuration()) {
         add_declarations(configuration->configuration, result);
     }
-    {
-        const absl::MutexLock lock(&moves_mutex_);
-        result.moves = moves_;
-    }
     result.vms = observer_.vms();
     result.drain = observer_.drains();
     return result;
 }
 
-void maintenance_agent::set_moves(const std::vector<move_request>& moves) {
-    const absl::MutexLock lock(&moves_mutex_);
-    moves_ = moves;
+void maintenance_agent::start_moves(const std::vector<move_request>& moves) {
+    if (stopping_) {
+        return;
+    }
+    const absl::MutexLock lock(&round_mutex_);
+    for (const move_request& move : moves) {
+        // Each start changes a record, so the next one needs a new view.
+        start(move, view());
+    }
+}
+
+void maintenance_agent::start(const move_request& move, const maintenance_view& present) {
+    const auto stored = present.pools.find(move.source);
+    const auto limits = present.limits.find(move.source);
+    if (stored == present.pools.end() || limits == present.limits.end() ||
+        !present.limits.contains(move.target)) {
+        return;
+    }
+    const change_id change(self_.value() + "." + std::to_string(next_sequence_++));
+    const operation_context context{operation_id(change.value() + ":" + move.vm.value()), self_, present.now};
+    auto started = start_move(stored->second.record, move.vm, move.target, context, limits->second,
+                              observed_unavailable(stored->second.record, present.vms));
+    if (!started) {
+        metrics_.count({"masticpass_moves_total", "result", "not-started"});
+        return;
+    }
+    started->last_change = change;
+    started->last_writer = self_;
+    if (write_pool(*started, stored->second.revision)) {
+        metrics_.count({"masticpass_moves_total", "result", "started"});
+        log_event(
+            log_severity::info, "move_started",
+            {{"vm", move.vm.value()}, {"source", move.source.value()}, {"target", move.target.value()}});
+    }
 }
 
 void maintenance_agent::round() {
--- a/source/agent/maintenance_agent.h
+++ b/source/agent/maintenance_agent.h
@@ -39,8 +39,9 @@
     // Progress of the declared waves as this entry VM sees them.
     std::vector<wave_report> waves();
 
-    // Sets the moves that placement wants.
-    void set_moves(const std::vector<move_request>& moves);
+    // Starts moves within the budgets of their source pools. One that cannot start now is dropped; any entry
+    // VM goes on with those that started.
+    void start_moves(const std::vector<move_request>& moves);
 
     void stop() { stopping_ = true; }
 
@@ -48,6 +49,7 @@
     void round();
     maintenance_view view();
     void create_missing_records(const maintenance_view& present);
+    void start(const move_request& move, const maintenance_view& present);
     void carry_out(const maintenance_action& action);
     void write(const write_record& action);
     void reboot(const reboot_vm& action);
@@ -66,8 +68,6 @@
     // Serializes rounds and operators' drains, which share the sequence numbers of change ids.
     absl::Mutex round_mutex_;
     std::int64_t next_sequence_ ABSL_GUARDED_BY(round_mutex_) = 1;
-    absl::Mutex moves_mutex_;
-    std::vector<move_request> moves_ ABSL_GUARDED_BY(moves_mutex_);
     periodic_thread thread_;
 };
 
--- /dev/null
+++ b/source/agent/placement_agent.h
@@ -0,0 +1,64 @@
+#ifndef MASTICPASS_AGENT_PLACEMENT_AGENT_H
+#define MASTICPASS_AGENT_PLACEMENT_AGENT_H
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "agent/fleet_state.h"
+#include "agent/maintenance_agent.h"
+#include "agent/periodic_thread.h"
+#include "common/clock.h"
+#include "decision/placement/demand_tracker.h"
+#include "decision/placement/plan_placement.h"
+#include "peer/heartbeat.h"
+#include "telemetry/metrics.h"
+
+namespace masticpass {
+
+// Samples the demand that all entry VMs report, plans placement from it, and starts the planned moves if this
+// entry VM acts for placement. Every entry VM plans, so that a new owner knows how long each pool has been
+// short or in surplus. Ownership: owns one thread; borrows everything passed in. Thread safety: construct and
+// destroy on one thread.
+class placement_agent {
+public:
+    struct sources {
+        // The heartbeats of all entry VMs heard lately, this one's own included.
+        std::function<std::vector<heartbeat>()> heartbeats;
+        std::function<std::map<vm_id, vm_observation>()> vms;
+        // Whether this entry VM starts the moves.
+        std::function<bool()> is_owner;
+    };
+
+    placement_agent(const fleet_state& fleet, maintenance_agent& maintenance, const clock& time_source,
+                    metrics_registry& metrics, sources used);
+
+private:
+    void sample();
+    void plan(absl::Time now);
+    // The sustained demand of a pool's services in slots; nullopt while an estimate is not reliable.
+    std::optional<double> sustained_slots(const fleet_configuration& configuration, const pool_name& pool,
+                                          absl::Time now);
+    placement_pool describe(const pool_name& name, const pool_section& section,
+                            const stored_pool_record& stored,
+                            const std::map<vm_id, vm_observation>& vms) const;
+
+    const fleet_state& fleet_;
+    maintenance_agent& maintenance_;
+    const clock& clock_;
+    metrics_registry& metrics_;
+    const sources sources_;
+    // Used by the agent's thread only.
+    demand_tracker demand_;
+    placement_planner planner_;
+    std::map<service_name, double> planned_slots_;
+    std::set<pool_name> planned_pools_;
+    absl::Time next_plan_ = absl::InfinitePast();
+    periodic_thread thread_;
+};
+
+}  // namespace masticpass
+
+#endif
--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -18,6 +18,7 @@
 #include "agent/maintenance_agent.h"
 #include "agent/membership_agent.h"
 #include "agent/metrics_retry_counter.h"
+#include "agent/placement_agent.h"
 #include "agent/probe_agent.h"
 #include "agent/record_cache.h"
 #include "agent/record_keys.h"
@@ -46,6 +47,8 @@
 
 namespace {
 
+// The entry VM that rendezvous hashing gives this key starts the moves of placement.
+constexpr std::string_view placement_key = "placement";
 constexpr absl::Duration tick_interval = absl::Milliseconds(5);
 constexpr absl::Duration housekeeping_interval = absl::Seconds(1);
 // The balancer needs this long to see that the health address refuses.
@@ -106,11 +109,10 @@
           router({self, time_source, backends, peers, forwards, directory, ledger, metrics},
                  to_once_options(used)),
           retries(metrics),
-          observer(fleet, time_source,
-                   {[this] { return listed ? listed->latest() : std::make_shared<const vm_listing>(); },
-                    [this] { return all_heartbeats(); },
-                    [this](const allotment_member& member) { return is_gone(member); }}) {}
+          observer(fleet, time_source, observer_sources()),
+          placement_observer(fleet, time_source, observer_sources()) {}
 
+    fleet_sources observer_sources();
     void start_agents();
     void stop_agents();
     void take_record(const record& changed);
@@ -141,7 +143,9 @@
     forwarding forwards;
     request_router router;
     metrics_retry_counter retries;
+    // One for each agent, since an observer serves one thread.
     fleet_observer observer;
+    fleet_observer placement_observer;
     std::atomic<bool> stopping = false;
     // The highest store revision up to which all records were seen.
     std::atomic<std::uint64_t> complete_revision = 0;
@@ -156,6 +160,7 @@
     std::unique_ptr<service_table_agent> service_table;
     std::unique_ptr<probe_agent> probes;
     std::unique_ptr<maintenance_agent> maintenance;
+    std::unique_ptr<placement_agent> placement;
     std::unique_ptr<configuration_agent> changes;
     std::unique_ptr<entry_fleet_service> operator_calls;
     std::unique_ptr<periodic_thread> ticker;
@@ -166,6 +171,12 @@
     std::unique_ptr<status_server> status;
 };
 
+fleet_sources entry_vm::state::observer_sources() {
+    return {[this] { return listed ? listed->latest() : std::make_shared<const vm_listing>(); },
+            [this] { return all_heartbeats(); },
+            [this](const allotment_member& member) { return is_gone(member); }};
+}
+
 void entry_vm::state::take_record(const record& changed) {
     fleet.take(changed);
     if (service_table) {
@@ -335,6 +346,14 @@
     maintenance =
         std::make_unique<maintenance_agent>(self, store, control, records, fleet, observer, metrics,
                                             [this](const pool_name& pool) { return is_own_pool(pool); });
+    placement = std::make_unique<placement_agent>(
+        fleet, *maintenance, time_source, metrics,
+        placement_agent::sources{
+            [this] { return all_heartbeats(); }, [this] { return placement_observer.vms(); },
+            [this] {
+                return rendezvous_owner(placement_key, membership->candidates(zone_name())) ==
+                       configured.entry.id;
+            }});
     changes = std::make_unique<configuration_agent>(self, store, retries, time_source, records, fleet);
     operator_calls = std::make_unique<entry_fleet_service>(
         entry_fleet_service::parts{configured, self, time_source, fleet, *changes, *maintenance, *membership,
@@ -346,6 +365,7 @@
 void entry_vm::state::stop_agents() {
     housekeeper.reset();
     ticker.reset();
+    placement.reset();
     maintenance.reset();
     probes.reset();
     allotment.reset();
--- a/source/application/main.cpp
+++ b/source/application/main.cpp
@@ -4,6 +4,6 @@
 #include "application/entry_vm.h"
 
 int main(int argc, char** argv) {
-    return masticpass::run_command_line(argc, argv,
-                                        {.out = std::cout, .err = std::cerr, .serve = masticpass::run_entry_vm});
+    return masticpass::run_command_line(
+        argc, argv, {.out = std::cout, .err = std::cerr, .serve = masticpass::run_entry_vm});
 }
