--- a/source/common/identifier.h
+++ b/source/common/identifier.h
@@ -21,6 +21,10 @@
 
     // NOLINTNEXTLINE(modernize-use-nullptr): a false report of the check on defaulted comparisons.
     friend auto operator<=>(const identifier&, const identifier&) = default;
+    // Declared beside <=>, since the linter takes the 0 of a rewritten comparison for a null pointer.
+    friend bool operator<(const identifier& left, const identifier& right) {
+        return left.value_ < right.value_;
+    }
     friend bool operator==(const identifier&, const identifier&) = default;
 
     template <typename HashState>
