Answer a repeated request by its identity before any other refusal

An issuer that was stopping refused every request as not run, also one that it had run before when the caller sent it again. The identity is now looked up first. A repeatable request whose forwarding was lost runs here, and keeps the verdict that it may have run. Cancellations reach the entry VM that holds the request.

--- a/source/caller/caller_server.cpp
+++ b/source/caller/caller_server.cpp
@@ -65,8 +65,9 @@
     response.set_content(Json::writeString(Json::StreamWriterBuilder(), body), "application/json");
 }
 
-void answer_cancel(request_handler& handler, const httplib::Request& request, httplib::Response& response) {
-    const verdict outcome = handler.cancel(request_id(request.matches[1].str()));
+void answer_cancel(request_handler& handler, bool forwarded, const httplib::Request& request,
+                   httplib::Response& response) {
+    const verdict outcome = handler.cancel(request_id(request.matches[1].str()), forwarded);
     Json::Value body;
     body["verdict"] = std::string(to_string(outcome));
     response.status = status_ok;
@@ -100,8 +101,8 @@
                     answer_identities(handler, metrics, request, response);
                 });
     server.Delete(R"(/v1/requests/([A-Za-z0-9_.-]+))",
-                  [&handler](const httplib::Request& request, httplib::Response& response) {
-                      answer_cancel(handler, request, response);
+                  [&handler, forwarded](const httplib::Request& request, httplib::Response& response) {
+                      answer_cancel(handler, forwarded, request, response);
                   });
     const httplib::Server::Handler complete_error =
         [&metrics](const httplib::Request&, httplib::Response& response) { add_verdict(metrics, response); };
--- a/source/routing/forwarding.cpp
+++ b/source/routing/forwarding.cpp
@@ -57,6 +57,15 @@
     return best->target;
 }
 
+std::vector<forward_target> forwarding::all() const {
+    const absl::MutexLock lock(&mutex_);
+    std::vector<forward_target> result;
+    for (const auto& [entry, peer] : peers_) {
+        result.push_back(peer.target);
+    }
+    return result;
+}
+
 std::optional<forward_target> forwarding::find(const incarnation_id& incarnation) const {
     const absl::MutexLock lock(&mutex_);
     for (const auto& [entry, peer] : peers_) {
--- a/source/routing/forwarding.h
+++ b/source/routing/forwarding.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -39,6 +40,9 @@
     // there is none.
     std::optional<forward_target> choose(const service_name& service);
 
+    // All known peers.
+    std::vector<forward_target> all() const;
+
     // The address of the entry VM with this incarnation; nullopt if it is not known.
     std::optional<forward_target> find(const incarnation_id& incarnation) const;
 
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -35,6 +35,11 @@
     return false;
 }
 
+// Whether a repeatable request that another entry VM did not answer, or refused as not run, may run here.
+bool may_run_here_after(const refusal& forwarded) {
+    return forwarded.outcome == verdict::not_run || forwarded.reason == refusal_reason::peer_unreachable;
+}
+
 constexpr absl::Duration retry_after_stop = absl::Seconds(1);
 
 tl::unexpected<refusal> refuse(verdict outcome, refusal_reason reason, std::string message) {
@@ -58,28 +63,36 @@
 
 request_result request_router::handle(const service_request& request) {
     const open_request open(open_requests_);
+    return request.repeatable ? route_repeatable(request) : route_once(request);
+}
+
+tl::expected<std::shared_ptr<request_router::served>, refusal> request_router::admit(
+    const service_name& service) const {
     if (stopping_) {
         return tl::unexpected(refusal{verdict::not_run, refusal_reason::stopping, "this entry VM is stopping",
                                       retry_after_stop});
     }
-    return route(request);
+    const absl::MutexLock lock(&services_mutex_);
+    if (!configured_) {
+        return refuse(verdict::not_run, refusal_reason::no_configuration, "no configuration is in force yet");
+    }
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return refuse(verdict::not_run, refusal_reason::unknown_service,
+                      "no service " + service.value() + " is declared");
+    }
+    return found->second;
 }
 
-request_result request_router::route(const service_request& request) {
-    const std::shared_ptr<served> service = find(request.service);
+request_result request_router::route_repeatable(const service_request& request) {
+    const auto service = admit(request.service);
     if (!service) {
-        const absl::MutexLock lock(&services_mutex_);
-        if (!configured_) {
-            return refuse(verdict::not_run, refusal_reason::no_configuration,
-                          "no configuration is in force yet");
-        }
-        return refuse(verdict::not_run, refusal_reason::unknown_service,
-                      "no service " + request.service.value() + " is declared");
+        return tl::unexpected(service.error());
     }
-    return request.repeatable ? run_or_forward(request, *service) : route_once(request, *service);
+    return run_or_forward(request, **service);
 }
 
-request_result request_router::route_once(const service_request& request, served& service) {
+request_result request_router::route_once(const service_request& request) {
     if (request.id.empty()) {
         return refuse(verdict::not_run, refusal_reason::identity_required,
                       "a request that must not be repeated needs an identity from POST /v1/identities");
@@ -89,7 +102,7 @@
         return refuse(verdict::not_run, refusal_reason::identity_unknown, "not an identity that was issued");
     }
     if (identity->issuer == parts_.self) {
-        return run_as_issuer(request, *identity, service);
+        return run_as_issuer(request, *identity);
     }
     if (request.forwarded) {
         return refuse(verdict::may_have_run, refusal_reason::issuer_gone,
@@ -98,17 +111,19 @@
     return forward_to_issuer(request, *identity);
 }
 
-request_result request_router::run_as_issuer(const service_request& request, const once_identity& identity,
-                                             served& service) {
+request_result request_router::run_as_issuer(const service_request& request, const once_identity& identity) {
     once_begin begun;
     {
         const absl::MutexLock lock(&once_mutex_);
         begun = once_.begin(identity, parts_.time_source.now());
     }
+    // Asked before anything else may refuse: the request may have run when it was sent before.
     if (begun.decision != once_decision::first_run) {
         return answer_begun(begun);
     }
-    request_result result = run_here(request, service);
+    const auto service = admit(request.service);
+    request_result result =
+        service ? run_here(request, **service) : request_result(tl::unexpected(service.error()));
     settle_identity(identity, result);
     return result;
 }
@@ -179,14 +194,18 @@
         return run_here(request, service);
     }
     parts_.metrics.count({"masticpass_forwards_total", "reason", "no-free-slot"});
-    request_result result = parts_.peers.forward(target->address, request);
-    if (result || result.error().outcome != verdict::not_run) {
-        return result;
+    request_result forwarded = parts_.peers.forward(target->address, request);
+    if (forwarded || !may_run_here_after(forwarded.error())) {
+        return forwarded;
     }
     parts_.metrics.count(
-        {"masticpass_retries_total", "reason", std::string(to_string(result.error().reason))});
+        {"masticpass_retries_total", "reason", std::string(to_string(forwarded.error().reason))});
     parts_.forwards.forget(target->entry);
-    return run_here(request, service);
+    request_result result = run_here(request, service);
+    if (!result && forwarded.error().outcome != verdict::not_run) {
+        result.error().outcome = verdict::may_have_run;
+    }
+    return result;
 }
 
 request_description request_router::describe(const service_request& request, const served& service) {
@@ -286,7 +305,15 @@
     return identities;
 }
 
-verdict request_router::cancel(const request_id& id) {
+verdict request_router::cancel(const request_id& id, bool forwarded) {
+    if (const auto outcome = cancel_here(id)) {
+        return *outcome;
+    }
+    // A request that is not known anywhere may have ended before.
+    return forwarded ? verdict::may_have_run : cancel_at_peers(id);
+}
+
+std::optional<verdict> request_router::cancel_here(const request_id& id) {
     for (const auto& [name, service] : table()) {
         switch (service->shard->cancel(id)) {
             case cancel_result::removed:
@@ -297,11 +324,20 @@
                 break;
         }
     }
-    const auto identity = once_identity::parse(id.value());
-    if (identity && identity->issuer != parts_.self) {
+    return std::nullopt;
+}
+
+verdict request_router::cancel_at_peers(const request_id& id) {
+    if (const auto identity = once_identity::parse(id.value())) {
         const auto issuer = parts_.forwards.find(identity->issuer);
         return issuer ? parts_.peers.cancel(issuer->address, id) : verdict::may_have_run;
     }
+    // The id was chosen by the caller, so any entry VM may hold the request.
+    for (const forward_target& peer : parts_.forwards.all()) {
+        if (parts_.peers.cancel(peer.address, id) == verdict::not_run) {
+            return verdict::not_run;
+        }
+    }
     return verdict::may_have_run;
 }
 
@@ -368,12 +404,6 @@
     return result;
 }
 
-std::shared_ptr<request_router::served> request_router::find(const service_name& service) const {
-    const absl::MutexLock lock(&services_mutex_);
-    const auto found = services_.find(service);
-    return found == services_.end() ? nullptr : found->second;
-}
-
 request_router::service_table request_router::table() const {
     const absl::MutexLock lock(&services_mutex_);
     return services_;
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -60,7 +60,7 @@
 
     request_result handle(const service_request& request) override;
     tl::expected<std::vector<request_id>, refusal> issue_identities(std::size_t count) override;
-    verdict cancel(const request_id& id) override;
+    verdict cancel(const request_id& id, bool forwarded) override;
 
     // Replaces the services. Queued requests of a service that is gone are refused as not run.
     void set_services(const std::vector<routed_service>& services);
@@ -87,10 +87,13 @@
     };
     using service_table = std::map<service_name, std::shared_ptr<served>>;
 
-    request_result route(const service_request& request);
-    request_result route_once(const service_request& request, served& service);
-    request_result run_as_issuer(const service_request& request, const once_identity& identity,
-                                 served& service);
+    request_result route_repeatable(const service_request& request);
+    request_result route_once(const service_request& request);
+    request_result run_as_issuer(const service_request& request, const once_identity& identity);
+    // The service if requests for it may start now.
+    tl::expected<std::shared_ptr<served>, refusal> admit(const service_name& service) const;
+    std::optional<verdict> cancel_here(const request_id& id);
+    verdict cancel_at_peers(const request_id& id);
     request_result forward_to_issuer(const service_request& request, const once_identity& identity);
     request_result answer_begun(const once_begin& begun);
     void settle_identity(const once_identity& identity, const request_result& result);
@@ -101,7 +104,6 @@
     tl::expected<backend_response, attempt_failure> run_attempt(const service_request& request,
                                                                 served& service, const dispatch& work);
     request_description describe(const service_request& request, const served& service);
-    std::shared_ptr<served> find(const service_name& service) const;
     service_table table() const;
 
     const router_parts parts_;
--- a/source/routing/service_request.h
+++ b/source/routing/service_request.h
@@ -58,7 +58,8 @@
 
     // Cancels a waiting request; its place is free when the call returns. The verdict says whether it had
     // begun.
-    virtual verdict cancel(const request_id& id) = 0;
+    // `forwarded` says that another entry VM passes it on.
+    virtual verdict cancel(const request_id& id, bool forwarded) = 0;
 };
 
 }  // namespace masticpass
