--- /dev/null
+++ b/model/move.pml
@@ -0,0 +1,161 @@
+/* Moves of one VM from pool a to pool b or c. Pool a has two agents and the others one; with the macro
+   TWO_TARGET_AGENTS, pool b has two and the others one.
+
+   Bounds: two moves, the first of which may be cancelled at any moment. Every agent reads the two records it needs
+   at different moments and can be paused between any two steps.
+
+   Each of these macros removes one guard:
+     NO_COMPARISON      records are written without comparing the revision
+     BEGIN_ON_ABSENCE   the target begins as soon as the source does not list the VM
+     ANY_NOTE           the source hands over on the note of any move
+     DROP_ON_OLD_VIEW   the target drops a note on a view of the source older than the note
+     KEEP_NOTES         the target never drops the note of a cancelled move */
+
+#ifdef DROP_ON_OLD_VIEW
+/* The agent with the older view needs another one that has written the note. */
+#define TWO_TARGET_AGENTS
+#endif
+
+#define A_SERVING 0
+#define A_MOVING 1
+#define A_GONE 2
+
+#define NOT_LISTED 0
+#define INCOMING 1
+#define OWNED 2
+
+#define MOVES 2
+
+byte a_revision = 1;
+byte a_state = A_SERVING;
+byte a_target;
+byte a_operation;
+byte departed_target;
+byte departed_operation;
+byte departed_revision;
+
+/* Index 0 is pool b, index 1 is pool c. */
+byte t_revision[2] = 1;
+byte t_state[2];
+byte t_operation[2];
+byte t_source_revision[2];
+
+byte moves;
+
+#define OWNS(t) (t_state[t] == OWNED || \
+    (t_state[t] == INCOMING && a_state == A_GONE && departed_target == t && departed_operation == t_operation[t]))
+
+inline check_owner() {
+    assert(((a_state != A_GONE) + OWNS(0) + OWNS(1)) == 1)
+}
+
+#ifdef NO_COMPARISON
+#define UNCHANGED(now, seen) true
+#else
+#define UNCHANGED(now, seen) (now == seen)
+#endif
+
+#ifdef ANY_NOTE
+#define NOTE_MATCHES true
+#else
+#define NOTE_MATCHES (note_operation == seen_operation)
+#endif
+
+#ifdef BEGIN_ON_ABSENCE
+#define HANDED_OVER true
+#else
+#define HANDED_OVER (gone_target == t && gone_operation == seen_operation)
+#endif
+
+#ifdef DROP_ON_OLD_VIEW
+#define VIEW_IS_NEW_ENOUGH true
+#else
+#define VIEW_IS_NEW_ENOUGH (source_revision >= seen_source_revision)
+#endif
+
+proctype source_agent() {
+    byte seen_revision, seen_state, seen_target, seen_operation, seen_departed_op, seen_departed_rev;
+    byte note_state, note_operation, note_revision, other;
+end:
+    do
+    :: atomic { seen_revision = a_revision; seen_state = a_state; seen_target = a_target;
+                seen_operation = a_operation; seen_departed_op = departed_operation;
+                seen_departed_rev = departed_revision; other = (a_state == A_GONE -> departed_target : a_target) }
+       atomic { note_state = t_state[other]; note_operation = t_operation[other];
+                note_revision = t_revision[other] }
+       if
+       :: atomic { seen_state == A_SERVING && moves < MOVES && UNCHANGED(a_revision, seen_revision) ->
+            a_revision++; moves++; a_state = A_MOVING; a_operation = moves;
+            if
+            :: a_target = 0
+            :: a_target = 1
+            fi;
+            check_owner() }
+       :: atomic { seen_state == A_MOVING && seen_operation < MOVES && UNCHANGED(a_revision, seen_revision) ->
+            a_revision++; a_state = A_SERVING; a_operation = 0; a_target = 0; check_owner() }
+       :: atomic { seen_state == A_MOVING && note_state == INCOMING && NOTE_MATCHES &&
+            UNCHANGED(a_revision, seen_revision) ->
+            a_revision++; a_state = A_GONE; departed_target = seen_target;
+            departed_operation = seen_operation; departed_revision = note_revision;
+            a_operation = 0; a_target = 0; check_owner() }
+       :: atomic { seen_state == A_GONE && seen_departed_op != 0 && note_revision >= seen_departed_rev &&
+            !(note_state == INCOMING && note_operation == seen_departed_op) &&
+            UNCHANGED(a_revision, seen_revision) ->
+            a_revision++; departed_operation = 0; departed_target = 0; departed_revision = 0; check_owner() }
+       :: else
+       fi;
+       atomic { seen_revision = 0; seen_state = 0; seen_target = 0; seen_operation = 0; seen_departed_op = 0;
+                seen_departed_rev = 0; note_state = 0; note_operation = 0; note_revision = 0; other = 0 }
+    od
+}
+
+proctype target_agent(byte t) {
+    byte seen_revision, seen_state, seen_operation, seen_source_revision;
+    byte source_revision, source_state, source_target, source_operation, gone_target, gone_operation;
+end:
+    do
+    :: atomic { source_revision = a_revision; source_state = a_state; source_target = a_target;
+                source_operation = a_operation; gone_target = departed_target;
+                gone_operation = departed_operation }
+       atomic { seen_revision = t_revision[t]; seen_state = t_state[t]; seen_operation = t_operation[t];
+                seen_source_revision = t_source_revision[t] }
+       if
+       :: atomic { seen_state == NOT_LISTED && source_state == A_MOVING && source_target == t &&
+            UNCHANGED(t_revision[t], seen_revision) ->
+            t_revision[t]++; t_state[t] = INCOMING; t_operation[t] = source_operation;
+            t_source_revision[t] = source_revision; check_owner() }
+       :: atomic { seen_state == INCOMING && source_state == A_GONE && HANDED_OVER &&
+            UNCHANGED(t_revision[t], seen_revision) ->
+            t_revision[t]++; t_state[t] = OWNED; check_owner() }
+#ifndef KEEP_NOTES
+       :: atomic { seen_state == INCOMING && VIEW_IS_NEW_ENOUGH &&
+            !(source_state == A_MOVING && source_operation == seen_operation) &&
+            !(gone_target == t && gone_operation == seen_operation) &&
+            UNCHANGED(t_revision[t], seen_revision) ->
+            t_revision[t]++; t_state[t] = NOT_LISTED; t_operation[t] = 0; t_source_revision[t] = 0;
+            check_owner() }
+#endif
+       :: else
+       fi;
+       atomic { seen_revision = 0; seen_state = 0; seen_operation = 0; seen_source_revision = 0;
+                source_revision = 0; source_state = 0; source_target = 0; source_operation = 0;
+                gone_target = 0; gone_operation = 0 }
+    od
+}
+
+init {
+    atomic {
+        run source_agent();
+        run target_agent(0);
+        run target_agent(1);
+#ifdef TWO_TARGET_AGENTS
+        run target_agent(0);
+#else
+        run source_agent();
+#endif
+    }
+}
+
+/* The last move, which is not cancelled, completes, and no note of another move stays. */
+ltl ends { <> (a_state == A_GONE && (t_state[0] == OWNED || t_state[1] == OWNED) &&
+               t_state[0] != INCOMING && t_state[1] != INCOMING) }
--- /dev/null
+++ b/model/once.pml
@@ -0,0 +1,110 @@
+/* A request that must not be repeated. Its identity was issued by incarnation 1 of entry VM 0, which may be paused
+   at any step and may be killed and replaced by incarnation 2. The caller sends the request up to three times, to
+   the issuer or to entry VM 1, which forwards it. Responses of the backend server get lost.
+
+   Each of these macros removes one guard:
+     ANY_INCARNATION    the replacement runs identities of the incarnation before it
+     NO_STARTED_STATE   the issuer does not note that it started the request
+     RETRY_UNKNOWN      after an unknown outcome the identity counts as unused
+     RUN_FOR_OTHERS     entry VM 1 runs the request when the issuer does not take it */
+
+#define UNUSED 0
+#define STARTED 1
+#define FINISHED 2
+
+#define NOT_RUN 0
+#define RAN 1
+#define UNKNOWN 2
+
+chan to_issuer = [3] of { byte };
+byte sends = 3;
+byte refusals = 1;
+byte runs;
+bool killed;
+
+/* The backend server runs the request or states that it did not start it; the response can be lost. */
+inline attempt(outcome) {
+    atomic {
+        if
+        :: refusals > 0 -> refusals--; outcome = NOT_RUN
+        :: runs++; assert(runs <= 1); outcome = RAN
+        :: runs++; assert(runs <= 1); outcome = UNKNOWN
+        fi
+    }
+}
+
+/* Each incarnation has its own memory, which is lost with it. */
+byte state[3];
+
+#ifdef ANY_INCARNATION
+#define MAY_RUN true
+#else
+#define MAY_RUN (incarnation == 1)
+#endif
+
+/* One of the two threads of an incarnation that handle deliveries. What a killed issuer has sent may still run. */
+proctype handler(byte incarnation) {
+    byte outcome, copy;
+    bool runs_it;
+end:
+    do
+    :: incarnation == 1 && killed -> break
+    :: to_issuer?copy ->
+       copy = 0;
+       atomic {
+        runs_it = MAY_RUN && state[incarnation] == UNUSED;
+#ifndef NO_STARTED_STATE
+        if
+        :: runs_it -> state[incarnation] = STARTED
+        :: else
+        fi
+#endif
+       }
+       if
+       :: runs_it ->
+          attempt(outcome);
+          if
+          :: outcome == NOT_RUN -> state[incarnation] = UNUSED
+          :: outcome == RAN -> state[incarnation] = FINISHED
+#ifdef RETRY_UNKNOWN
+          :: outcome == UNKNOWN -> state[incarnation] = UNUSED
+#else
+          :: outcome == UNKNOWN
+#endif
+          fi
+       :: else
+       fi;
+       outcome = 0;
+       runs_it = false
+    od
+}
+
+proctype replacement() {
+end:
+    do
+    :: atomic { !killed -> killed = true; run handler(2); run handler(2); break }
+    od
+}
+
+proctype forwarder() {
+    byte outcome;
+end:
+    do
+    :: atomic { sends > 0 && nfull(to_issuer) -> sends--; to_issuer!1 }
+#ifdef RUN_FOR_OTHERS
+    :: sends > 0 && killed -> sends--; attempt(outcome); outcome = 0
+#endif
+    od
+}
+
+proctype caller() {
+end:
+    do
+    :: atomic { sends > 0 && nfull(to_issuer) -> sends--; to_issuer!1 }
+    od
+}
+
+init { atomic { run handler(1); run handler(1); run replacement(); run forwarder(); run caller() } }
+
+/* Every sent copy is taken and answered. */
+ltl ends { <> (sends == 0 && len(to_issuer) == 0) }
