--- a/measure/support/placement_comparison.cpp
+++ b/measure/support/placement_comparison.cpp
@@ -78,6 +78,7 @@
     std::vector<std::optional<simulation_result>> results(searches.size());
     std::atomic<std::size_t> next = 0;
     std::vector<std::thread> workers;
+    workers.reserve(threads);
     for (int thread = 0; thread < threads; ++thread) {
         workers.emplace_back([&] {
             for (auto index = next++; index < searches.size(); index = next++) {
@@ -190,8 +191,8 @@
         return 100 * (1 - result.run->spare_vm_hours / fixed.run->spare_vm_hours);
     };
     if (fixed.run && planned.run && ideal.run) {
-        absl::PrintF("  buffer saved over fixed: %.1f%% (goal 30%%; ideal spread %.1f%%)\n", saved(planned),
-                     saved(ideal));
+        absl::PrintF("  buffer saved over fixed: %.1f%% (goal 30%%); the ideal spread saves %.1f%%\n",
+                     saved(planned), saved(ideal));
     }
     compare_moves(deployment, trace, "chase 1", 1, planned, planned_factory);
     compare_moves(deployment, trace, "chase 16", 16, planned, planned_factory);
--- a/measure/support/placement_cost.cpp
+++ b/measure/support/placement_cost.cpp
@@ -35,7 +35,7 @@
     }
     for (int index = 0; index < vms; ++index) {
         // A fourteenth of the fleet starts in the spare pool.
-        const int pool = index % 14 == 0 ? 0 : 1 + index % (pools - 1);
+        const int pool = index % 14 == 0 ? 0 : 1 + index % std::max(1, pools - 1);
         const int zone = index % zones;
         result[static_cast<std::size_t>(pool)].vms.push_back(
             {vm_id("vm-" + std::to_string(100'000 + index)), zone_name("zone-" + std::to_string(zone)),
--- a/tests/decision/placement/random_schedule_test.cpp
+++ b/tests/decision/placement/random_schedule_test.cpp
@@ -28,10 +28,11 @@
         {planted_fault::changed_pool_not_assessed, "incremental result equals full"},
         {planted_fault::no_moves, "loss survived"},
     };
-    for (const auto& [fault, invariant] : faults) {
+    for (const auto& planted : faults) {
+        const std::string& invariant = planted.second;
         std::set<std::string> violations;
         for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-            violations.insert(random_schedule(seed, fault).run());
+            violations.insert(random_schedule(seed, planted.first).run());
         }
         CHECK_MESSAGE(violations.contains(invariant), "not caught: " << invariant);
     }
