--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -177,6 +177,10 @@
 }
 
 bool move_round::take_from_best_off(participant& receiver) {
+    // Room for a loss that has not occurred is no reason to take capacity that another pool uses.
+    if (!misses_demand(receiver.pool->input, policy_, receiver.capacity)) {
+        return false;
+    }
     if (!all_entered_) {
         all_entered_ = true;
         absl::flat_hash_set<const planned_pool*> entered;
--- a/source/decision/placement/pool_assessment.cpp
+++ b/source/decision/placement/pool_assessment.cpp
@@ -116,6 +116,11 @@
     return shortage;
 }
 
+bool misses_demand(const placement_pool& pool, const placement_policy& policy,
+                   const domain_counts& capacity) {
+    return need_of(pool, policy, 1.0).normally > capacity.total();
+}
+
 bool vm_helps(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
               const placement_vm& vm) {
     const auto need = need_of(pool, policy, 1.0);
--- a/source/decision/placement/pool_assessment.h
+++ b/source/decision/placement/pool_assessment.h
@@ -78,6 +78,9 @@
 int shortage_of(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity,
                 double demand_factor = 1.0);
 
+// True if the VMs in `capacity` do not hold the sustained demand, apart from any loss.
+bool misses_demand(const placement_pool& pool, const placement_policy& policy, const domain_counts& capacity);
+
 // True if the VM adds to what the pool misses: it serves the demand, or remains after a loss that the pool
 // cannot hold. The shortage itself may stay equal when two domains are equally large, so it does not decide
 // this.
--- a/tests/decision/placement/plan_placement_test.cpp
+++ b/tests/decision/placement/plan_placement_test.cpp
@@ -194,6 +194,30 @@
     CHECK(moves_to(moves, "short") == 3);
 }
 
+// Guards against one pool that keeps its VMs while another, with less capacity for its demand, refuses work.
+TEST_CASE("without a buffer or surplus the pool that is best off gives, down to the same coverage") {
+    auto worst = make_pool("worst", 48);
+    add_vms(worst, "a", 4);
+    auto better = make_pool("better", 48);
+    add_vms(better, "b", 7);
+    SUBCASE("one VM makes them equal within the band") {
+        CHECK(moves_to(settled_moves({worst, better}), "worst") == 1);
+    }
+    SUBCASE("an urgent pool gives nothing to other pools") {
+        better.urgent = true;
+        CHECK(settled_moves({worst, better}).empty());
+    }
+    SUBCASE("room for a loss takes nothing from a pool that uses its VMs") {
+        // Neither pool survives the loss of its only zone, and the second has the higher coverage.
+        worst.sustained_slots = 16;
+        worst.survive_zone = true;
+        better.sustained_slots = 8;
+        better.survive_zone = true;
+        CHECK(assess_pool(worst, placement_policy{}).shortage_vms == 2);
+        CHECK(settled_moves({worst, better}).empty());
+    }
+}
+
 TEST_CASE("demand is split into what the pool holds, what moves add and what must queue") {
     auto pool = make_pool("pool", 48);
     add_vms(pool, "a", 5);
