Skip donors that can give no VM

Cause: with an empty buffer each short pool examined each VM of each donor, also when the donor's budget or minimum permits no move. Conclusion: kept; the plans are the same.

--- a/measure/support/placement_cost.cpp
+++ b/measure/support/placement_cost.cpp
@@ -122,6 +122,25 @@
                     }
                     return changed;
                 });
+    // The buffer is empty and half of the pools are short, so every donor is tried for every receiver.
+    for (const int budget : {0, 2}) {
+        auto pools = build_pools(181, 1400);
+        pools[0].vms.clear();
+        for (std::size_t index = 1; index < pools.size(); ++index) {
+            pools[index].sustained_slots = index % 2 == 0 ? 90 : 40;
+            pools[index].budget.max_unavailable = budget;
+            // Every VM in one zone: no pool has a lasting surplus beyond the loss that it must survive.
+            pools[index].survive_zone = true;
+            for (auto& vm : pools[index].vms) {
+                vm.zone = zone_name("zone-0");
+            }
+        }
+        time_rounds(absl::StrFormat("no buffer, budget %d", budget), pools,
+                    [](std::vector<placement_pool>& changed_pools, int round) {
+                        changed_pools[2].sustained_slots = 90 + round % 2;
+                        return std::vector<std::size_t>{2};
+                    });
+    }
 }
 
 void print_memory() {
--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -137,6 +137,11 @@
     if (&donor == &receiver || !quotas_.permits_move(source.team, target.team)) {
         return false;
     }
+    // Checked here as well as per VM, since a fleet in trouble has many donors that can give nothing.
+    if (donor.settled_size <= source.minimum_vms ||
+        donor.unavailable.total() >= source.budget.max_unavailable) {
+        return false;
+    }
     const auto index = best_vm(donor, receiver, cause, condition);
     if (index == source.vms.size()) {
         return false;
