--- a/source/decision/serving/dispatch_price.cpp
+++ b/source/decision/serving/dispatch_price.cpp
@@ -16,6 +16,7 @@
 
 void dispatch_price::dispatched(double value, absl::Time now) {
     advance(now);
+    free_ = false;
     present() = std::min(present(), value);
 }
 
--- a/source/decision/serving/dispatch_price.h
+++ b/source/decision/serving/dispatch_price.h
@@ -18,7 +18,7 @@
 
     dispatch_price();
 
-    // Records that work of this value was dispatched because no work of more value waited.
+    // Records that work of this value was dispatched because no work of more value waited. Ends a free slot.
     void dispatched(double value, absl::Time now);
 
     // Records whether from `now` on a slot is free that any waiting work could have, so that the price is
--- a/source/decision/serving/scheduler_types.h
+++ b/source/decision/serving/scheduler_types.h
@@ -54,8 +54,10 @@
 };
 
 enum class cancel_result {
-    // The request has left the queue; nothing further is reported about it.
+    // The request has left the queue and did not run; nothing further is reported about it.
     removed,
+    // As above, but an earlier attempt may have run it.
+    removed_after_attempt,
     // The request runs. It is not retried; attempt_ended reports its end.
     running,
     unknown,
--- a/source/decision/serving/server_health.h
+++ b/source/decision/serving/server_health.h
@@ -19,8 +19,8 @@
     // Time until the first probe. Doubled by an ejection that soon follows another one.
     absl::Duration first_back_off = absl::Seconds(2);
     absl::Duration largest_back_off = absl::Minutes(5);
-    // Time from a failed probe to the next. It does not grow, as a probe costs little and a late one leaves slots
-    // unused after the fault.
+    // Time from a failed probe to the next. It does not grow, as a probe costs little and a late one leaves
+    // slots unused after the fault.
     absl::Duration probe_interval = absl::Seconds(2);
     // At most one server in this many is ejected.
     std::size_t servers_per_ejection = 3;
--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -38,7 +38,8 @@
                                           "the deadline cannot be met at the present load"));
     }
     if (!make_room(entry, now)) {
-        const bool items = queue_.items() >= options_.largest_items;
+        const bool items =
+            queue_.items() >= options_.largest_items && request.bytes <= options_.largest_bytes;
         return tl::make_unexpected(refuse(
             verdict::not_run, items ? refusal_reason::queue_full_items : refusal_reason::queue_full_bytes,
             "the queue is full"));
@@ -52,8 +53,9 @@
 
 cancel_result service_scheduler::cancel(const request_id& id, absl::Time /*now*/) {
     if (queue_.find(id) != nullptr) {
-        queue_.take(id);
-        return cancel_result::removed;
+        const queued_request taken = queue_.take(id);
+        return taken.outcome == verdict::not_run ? cancel_result::removed
+                                                 : cancel_result::removed_after_attempt;
     }
     const auto found = running_.find(id);
     if (found == running_.end()) {
--- a/tests/decision/serving/server_health_test.cpp
+++ b/tests/decision/serving/server_health_test.cpp
@@ -14,6 +14,7 @@
 
 std::vector<vm_id> make_servers(int count) {
     std::vector<vm_id> servers;
+    servers.reserve(static_cast<std::size_t>(count));
     for (int server = 0; server < count; ++server) {
         servers.emplace_back(absl::StrCat("vm-", server));
     }
--- /dev/null
+++ b/tests/decision/serving/serving_schedule_test.cpp
@@ -0,0 +1,318 @@
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <doctest/doctest.h>
+
+#include "decision/serving/once_registry.h"
+#include "decision/serving/server_health.h"
+#include "decision/serving/service_scheduler.h"
+
+namespace masticpass {
+namespace {
+
+// Deliberate errors of the code around the decisions; each must break an invariant in some schedule.
+enum class error {
+    none,
+    ignores_identity,
+    hides_sent_bytes,
+    repeats_everything,
+    ignores_ejection,
+    ignores_slots,
+    drops_expired,
+};
+
+constexpr int kinds = 5;
+
+struct caller_request {
+    once_identity identity;
+    bool repeatable = false;
+    int runs = 0;
+    int ends = 0;
+    bool submitted = false;
+};
+
+struct server {
+    vm_id name;
+    int slots = 4;
+    int running = 0;
+    int boot = 1;
+    bool failing = false;
+};
+
+// One entry VM with failing, leaving and rebooting servers, and callers that cancel and repeat their
+// requests.
+class serving_world {
+public:
+    serving_world(std::uint64_t seed, error broken)
+        : random_(seed), broken_(broken), scheduler_(options()), registry_(incarnation_id("entry.1")) {
+        std::vector<vm_id> names;
+        for (int index = 0; index < 3 + number(6); ++index) {
+            servers_.push_back({.name = vm_id(absl::StrCat(index)), .slots = 1 + number(4)});
+            names.push_back(servers_.back().name);
+        }
+        health_.update_servers(names);
+        for (const server& each : servers_) {
+            health_.leaving().boot_observed(each.name, boot_id("1"));
+        }
+        update_instances();
+    }
+
+    // The first violated invariant; empty if there is none.
+    std::string run(int steps) {
+        for (int step = 0; step < steps && violation_.empty(); ++step) {
+            act();
+            advance();
+        }
+        for (server& each : servers_) {
+            each.failing = false;
+            each.slots = 4;
+            reboot(each);
+        }
+        update_instances();
+        // Everything that was accepted ends, long work included, once nothing new arrives.
+        for (int step = 0; step < 2'000 && has_work(); ++step) {
+            finish_one();
+            advance();
+        }
+        for (const caller_request& each : requests_) {
+            require(each.ends == (each.submitted ? 1 : 0), "a submitted request did not end exactly once");
+        }
+        return violation_;
+    }
+
+private:
+    static scheduler_options options() {
+        scheduler_options result;
+        result.largest_items = 12;
+        result.largest_bytes = 3'000;
+        return result;
+    }
+
+    bool has_work() const {
+        return scheduler_.running() > 0 || scheduler_.next_expiry() != absl::InfiniteFuture();
+    }
+
+    int number(int below) { return boost::random::uniform_int_distribution<>(0, below - 1)(random_); }
+
+    void require(bool holds, const std::string& text) {
+        if (!holds && violation_.empty()) {
+            violation_ = text;
+        }
+    }
+
+    void act() {
+        const int choice = number(100);
+        server& any = servers_[static_cast<std::size_t>(number(static_cast<int>(servers_.size())))];
+        if (choice < 45) {
+            submit();
+        } else if (choice < 85) {
+            finish_one();
+        } else if (choice < 90) {
+            cancel();
+        } else if (choice < 92) {
+            any.failing = !any.failing;
+        } else if (choice < 94) {
+            health_.leaving().mark(any.name, boot_id());
+        } else if (choice < 96) {
+            reboot(any);
+        } else if (choice < 98) {
+            any.slots = number(5);
+        } else if (const auto probed = health_.next_probe(now_)) {
+            health_.probe_ended(*probed, !find(*probed).failing, now_);
+        }
+        update_instances();
+    }
+
+    void advance() {
+        now_ += absl::Milliseconds(number(60));
+        auto ended = scheduler_.expire(now_);
+        if (broken_ == error::drops_expired) {
+            ended.clear();
+        }
+        for (const refused_request& each : ended) {
+            end(each.request, each.reason.outcome);
+        }
+        while (const auto next = scheduler_.next_dispatch(now_)) {
+            server& chosen = find(next->instance);
+            require(chosen.running < chosen.slots, "more requests than slots");
+            require(health_.accepts_work(chosen.name), "new work on an ejected or leaving server");
+            ++chosen.running;
+            running_.emplace_back(next->request, next->instance);
+        }
+        require(scheduler_.queued_items() <= 12 && scheduler_.queued_bytes() <= 3'000,
+                "the queue is too large");
+        require(health_.ejected() <= servers_.size() / 3, "too many servers are ejected");
+        require(scheduler_.running() == running_.size(), "attempts are miscounted");
+    }
+
+    void submit() {
+        // Some callers repeat an earlier request under its identity.
+        const bool again = !requests_.empty() && number(4) == 0;
+        const auto earlier =
+            static_cast<std::size_t>(number(std::max(1, static_cast<int>(requests_.size()))));
+        const caller_request from = again ? requests_[earlier]
+                                          : caller_request{.identity = registry_.issue(1, now_).value(),
+                                                           .repeatable = number(2) == 0};
+        requests_.push_back({.identity = from.identity, .repeatable = from.repeatable});
+        if (!from.repeatable && broken_ != error::ignores_identity &&
+            registry_.begin(from.identity, now_).decision != once_decision::first_run) {
+            return;
+        }
+        const int kind = number(kinds);
+        const request_id id(absl::StrCat(requests_.size() - 1));
+        const auto submitted = scheduler_.submit(
+            {.id = id,
+             .kind = job_kind(absl::StrCat(kind)),
+             .deadline = now_ + (number(3) == 0 ? absl::Hours(10) : absl::Milliseconds(100 + number(3'000))),
+             .worth = 1.0 + number(10),
+             .declared = absl::Milliseconds(number(2) == 0 ? 50 : 2'000),
+             .bytes = static_cast<std::size_t>(number(600)),
+             .urgent = number(10) == 0,
+             .repeatable = from.repeatable || broken_ == error::repeats_everything},
+            now_);
+        requests_.back().submitted = true;
+        if (!submitted.has_value()) {
+            end(id, submitted.error().outcome);
+        }
+    }
+
+    void cancel() {
+        if (requests_.empty()) {
+            return;
+        }
+        const request_id id(absl::StrCat(number(static_cast<int>(requests_.size()))));
+        const std::size_t before = scheduler_.queued_items();
+        const cancel_result result = scheduler_.cancel(id, now_);
+        if (result == cancel_result::removed || result == cancel_result::removed_after_attempt) {
+            require(scheduler_.queued_items() + 1 == before, "a cancelled request keeps its place");
+            end(id, result == cancel_result::removed ? verdict::not_run : verdict::may_have_run);
+        }
+    }
+
+    void finish_one() {
+        if (running_.empty()) {
+            return;
+        }
+        const auto position = static_cast<std::size_t>(number(static_cast<int>(running_.size())));
+        const auto [id, instance] = running_[position];
+        running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(position));
+        server& on = find(instance);
+        --on.running;
+        caller_request& request = requests_[index_of(id)];
+        attempt_event event = attempt_event::complete_response;
+        bool sent = true;
+        if (on.failing || number(10) == 0) {
+            event = static_cast<attempt_event>(1 + number(8));
+            sent = event != attempt_event::connect_failed && number(4) > 0;
+        }
+        const bool may_run = sent && event != attempt_event::stated_not_run;
+        request.runs += may_run && (event == attempt_event::complete_response || number(2) == 0) ? 1 : 0;
+        require(request.repeatable || total_runs(request.identity) <= 1, "a request ran twice");
+        const bool reported_sent =
+            sent && (broken_ != error::hides_sent_bytes || event == attempt_event::complete_response);
+        const attempt_result result = result_of(event, reported_sent, "fault");
+        health_.attempt_ended(instance, job_kind(absl::StrCat(number(kinds))), result.has_value(), now_);
+        const auto next = scheduler_.attempt_ended(id, result, now_);
+        if (!next.has_value()) {
+            end(id, next.error().outcome);
+        } else if (*next == attempt_next::completed) {
+            end(id, verdict::ran);
+        }
+        update_instances();
+    }
+
+    void end(const request_id& id, verdict outcome) {
+        caller_request& request = requests_[index_of(id)];
+        ++request.ends;
+        require(outcome != verdict::not_run || request.runs == 0,
+                "a request that ran was refused as not run");
+        require(outcome != verdict::ran || request.runs > 0,
+                "a request that did not run was reported as ran");
+        if (request.repeatable || broken_ == error::ignores_identity) {
+            return;
+        }
+        const auto recorded =
+            outcome == verdict::not_run
+                ? registry_.revert(request.identity, now_)
+                : registry_.finish(request.identity, {.outcome = outcome, .content_type = "", .body = ""},
+                                   now_);
+        require(recorded.has_value(), "the registry does not know a request that ended");
+    }
+
+    int total_runs(const once_identity& identity) const {
+        int runs = 0;
+        for (const caller_request& each : requests_) {
+            runs += each.identity == identity ? each.runs : 0;
+        }
+        return runs;
+    }
+
+    void reboot(server& each) {
+        health_.leaving().boot_observed(each.name, boot_id(absl::StrCat(++each.boot)));
+    }
+
+    void update_instances() {
+        std::vector<instance_capacity> instances;
+        for (const server& each : servers_) {
+            instances.push_back(
+                {.instance = each.name,
+                 .slots = broken_ == error::ignores_slots ? 8 : each.slots,
+                 .accepts_work = broken_ == error::ignores_ejection || health_.accepts_work(each.name)});
+        }
+        scheduler_.update_instances(instances, now_);
+    }
+
+    server& find(const vm_id& name) { return servers_[static_cast<std::size_t>(std::stoi(name.value()))]; }
+    static std::size_t index_of(const request_id& id) {
+        return static_cast<std::size_t>(std::stoi(id.value()));
+    }
+
+    boost::random::mt19937_64 random_;
+    error broken_;
+    absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+    service_scheduler scheduler_;
+    once_registry registry_;
+    server_health health_;
+    std::vector<server> servers_;
+    std::vector<caller_request> requests_;
+    std::vector<std::pair<request_id, vm_id>> running_;
+    std::string violation_;
+};
+
+constexpr std::uint64_t schedules = 10'000;
+constexpr int steps = 200;
+
+bool is_caught(error broken) {
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        if (!serving_world(seed, broken).run(steps).empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}  // namespace
+
+// Guards against double runs, false "not run", lost requests, and breaches of the slot, queue and ejection
+// bounds.
+TEST_CASE("random serving schedules keep the invariants") {
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        const std::string violation = serving_world(seed, error::none).run(steps);
+        CHECK_MESSAGE(violation.empty(), "seed " << seed << ": " << violation);
+    }
+}
+
+// Guards against a schedule test that cannot fail.
+TEST_CASE("random serving schedules catch deliberate errors") {
+    for (const error broken : {error::ignores_identity, error::hides_sent_bytes, error::repeats_everything,
+                               error::ignores_ejection, error::ignores_slots, error::drops_expired}) {
+        CHECK_MESSAGE(is_caught(broken), "error " << static_cast<int>(broken));
+    }
+}
+
+}  // namespace masticpass
