Hold the sort keys of queued requests beside the pointers

Cause: each comparison in the queue followed two pointers and computed two logarithms; a queue of 100,000 misses the cache at each of them.

--- a/source/decision/serving/request_queue.cpp
+++ b/source/decision/serving/request_queue.cpp
@@ -35,27 +35,17 @@
     return absl::ToDoubleSeconds(now - absl::UnixEpoch()) / discount_seconds - rank();
 }
 
-bool request_queue::claim_order::operator()(const queued_request* left, const queued_request* right) const {
-    return std::make_tuple(!left->description.urgent, -left->claim(), left->sequence) <
-           std::make_tuple(!right->description.urgent, -right->claim(), right->sequence);
-}
-
-bool request_queue::ranked::operator<(const ranked& other) const {
-    return std::tie(not_urgent, rank, sequence) < std::tie(other.not_urgent, other.rank, other.sequence);
-}
-
-bool request_queue::start_order::operator()(const queued_request* left, const queued_request* right) const {
-    return std::make_tuple(left->latest_start(), left->sequence) <
-           std::make_tuple(right->latest_start(), right->sequence);
+bool request_queue::place::operator<(const place& other) const {
+    return std::tie(not_urgent, key, sequence) < std::tie(other.not_urgent, other.key, other.sequence);
 }
 
 const queued_request& request_queue::insert(queued_request request) {
     auto owned = std::make_unique<queued_request>(std::move(request));
     const queued_request& entry = *owned;
     requests_.emplace(entry.description.id, std::move(owned));
-    by_rank_[class_index(entry.estimate.size)].insert(place_of(entry));
-    by_start_.insert(&entry);
-    by_claim_.insert(&entry);
+    by_rank_[class_index(entry.estimate.size)].insert(rank_place(entry));
+    by_start_.insert(start_place(entry));
+    by_claim_.insert(claim_place(entry));
     work_ += entry.estimate.expected;
     bytes_ += entry.description.bytes;
     return entry;
@@ -70,9 +60,9 @@
     const auto found = requests_.find(id);
     const std::unique_ptr<queued_request> owned = std::move(found->second);
     requests_.erase(found);
-    by_rank_[class_index(owned->estimate.size)].erase(place_of(*owned));
-    by_start_.erase(owned.get());
-    by_claim_.erase(owned.get());
+    by_rank_[class_index(owned->estimate.size)].erase(rank_place(*owned));
+    by_start_.erase(start_place(*owned));
+    by_claim_.erase(claim_place(*owned));
     work_ -= owned->estimate.expected;
     bytes_ -= owned->description.bytes;
     return std::move(*owned);
@@ -84,24 +74,38 @@
 }
 
 const queued_request* request_queue::least_claim() const {
-    return by_claim_.empty() || (*by_claim_.rbegin())->description.urgent ? nullptr : *by_claim_.rbegin();
+    return by_claim_.empty() || !by_claim_.rbegin()->not_urgent ? nullptr : by_claim_.rbegin()->request;
 }
 
 const queued_request* request_queue::first_to_expire() const {
-    return by_start_.empty() ? nullptr : *by_start_.begin();
+    return by_start_.empty() ? nullptr : by_start_.begin()->request;
 }
 
 bool request_queue::goes_before(const queued_request& left, const queued_request& right) {
-    return place_of(left) < place_of(right);
+    return rank_place(left) < rank_place(right);
 }
 
 bool request_queue::has_more_claim(const queued_request& left, const queued_request& right) {
-    return claim_order()(&left, &right);
+    return claim_place(left) < claim_place(right);
 }
 
-request_queue::ranked request_queue::place_of(const queued_request& request) {
+request_queue::place request_queue::rank_place(const queued_request& request) {
     return {.not_urgent = !request.description.urgent,
-            .rank = request.rank(),
+            .key = request.rank(),
+            .sequence = request.sequence,
+            .request = &request};
+}
+
+request_queue::place request_queue::claim_place(const queued_request& request) {
+    return {.not_urgent = !request.description.urgent,
+            .key = -request.claim(),
+            .sequence = request.sequence,
+            .request = &request};
+}
+
+request_queue::place request_queue::start_place(const queued_request& request) {
+    return {.not_urgent = true,
+            .key = absl::ToDoubleSeconds(request.latest_start() - absl::UnixEpoch()),
             .sequence = request.sequence,
             .request = &request};
 }
--- a/source/decision/serving/request_queue.h
+++ b/source/decision/serving/request_queue.h
@@ -74,30 +74,29 @@
     std::size_t bytes() const { return bytes_; }
 
 private:
-    struct ranked {
+    // The key is held beside the pointer, so that a search computes no logarithms and follows no pointers.
+    struct place {
         bool not_urgent = true;
-        double rank = 0.0;
+        double key = 0.0;
         std::uint64_t sequence = 0;
         const queued_request* request = nullptr;
 
-        bool operator<(const ranked& other) const;
-    };
-    struct claim_order {
-        bool operator()(const queued_request* left, const queued_request* right) const;
-    };
-    struct start_order {
-        bool operator()(const queued_request* left, const queued_request* right) const;
+        bool operator<(const place& other) const;
     };
+    using ordered_places = absl::btree_set<place>;
 
-    static ranked place_of(const queued_request& request);
+    static place rank_place(const queued_request& request);
+    static place claim_place(const queued_request& request);
+    // Urgent requests expire like all others.
+    static place start_place(const queued_request& request);
 
     static std::size_t class_index(size_class size) { return size == size_class::short_work ? 0 : 1; }
 
     absl::flat_hash_map<request_id, std::unique_ptr<queued_request>> requests_;
-    std::array<absl::btree_set<ranked>, 2> by_rank_;
-    absl::btree_set<const queued_request*, start_order> by_start_;
+    std::array<ordered_places, 2> by_rank_;
+    ordered_places by_start_;
     // Highest claim first.
-    absl::btree_set<const queued_request*, claim_order> by_claim_;
+    ordered_places by_claim_;
     absl::Duration work_;
     std::size_t bytes_ = 0;
 };
