--- a/measure/serving_measure.cpp
+++ b/measure/serving_measure.cpp
@@ -3,6 +3,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include "support/cost_part.h"
+#include "support/once_part.h"
 #include "support/scheduling_part.h"
 
 // Measures the serving decisions in a discrete-event run. All figures but those of the cost part depend on
@@ -28,5 +30,11 @@
     if (wanted("retry")) {
         masticpass::measure::measure_retries(seed);
     }
+    if (wanted("once")) {
+        masticpass::measure::measure_once(seed);
+    }
+    if (wanted("cost")) {
+        masticpass::measure::measure_cost(seed);
+    }
     return 0;
 }
--- /dev/null
+++ b/measure/support/cost_part.cpp
@@ -0,0 +1,139 @@
+#include "support/cost_part.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <malloc.h>
+
+#include "decision/serving/once_registry.h"
+#include "decision/serving/service_scheduler.h"
+#include "support/table.h"
+
+namespace masticpass::measure {
+namespace {
+
+const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+constexpr int cycles = 20'000;
+
+class stopwatch {
+public:
+    double microseconds_each(int operations) const {
+        const std::chrono::duration<double, std::micro> elapsed = std::chrono::steady_clock::now() - started_;
+        return elapsed.count() / operations;
+    }
+
+private:
+    std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
+};
+
+std::size_t allocated_bytes() {
+    return mallinfo2().uordblks;
+}
+
+std::unique_ptr<service_scheduler> make_scheduler(int instances) {
+    scheduler_options options;
+    options.largest_items = 1'000'000;
+    options.largest_bytes = std::size_t{1} << 40U;
+    auto scheduler = std::make_unique<service_scheduler>(options);
+    std::vector<instance_capacity> capacities;
+    capacities.reserve(static_cast<std::size_t>(instances));
+    for (int instance = 0; instance < instances; ++instance) {
+        capacities.push_back({.instance = vm_id(absl::StrCat("vm-", instance)), .slots = 8});
+    }
+    scheduler->update_instances(capacities, start);
+    return scheduler;
+}
+
+request_description make_request(int number, boost::random::mt19937_64& random) {
+    const auto below = [&](int limit) {
+        return boost::random::uniform_int_distribution<>(0, limit - 1)(random);
+    };
+    return {.id = request_id(absl::StrCat("request-", number)),
+            .kind = job_kind(absl::StrCat("kind-", below(20))),
+            .deadline = start + absl::Minutes(10) + absl::Milliseconds(below(600'000)),
+            .worth = 1.0 + below(100),
+            .declared = absl::Milliseconds(10 + below(3'000)),
+            .bytes = 100};
+}
+
+void measure_scheduler(std::uint64_t seed, table& rows, int queued, int instances) {
+    boost::random::mt19937_64 random(seed);
+    const std::size_t before = allocated_bytes();
+    const auto scheduler = make_scheduler(instances);
+    const std::size_t empty = allocated_bytes();
+    for (int number = 0; number < queued; ++number) {
+        static_cast<void>(scheduler->submit(make_request(number, random), start));
+    }
+    const std::size_t full = allocated_bytes();
+    std::vector<dispatch> running;
+    while (const auto next = scheduler->next_dispatch(start)) {
+        running.push_back(*next);
+    }
+    std::vector<request_description> incoming;
+    incoming.reserve(cycles);
+    for (int number = 0; number < cycles; ++number) {
+        incoming.push_back(make_request(queued + number, random));
+    }
+    absl::Time now = start;
+    const stopwatch watch;
+    for (int number = 0; number < cycles; ++number) {
+        now += absl::Microseconds(100);
+        static_cast<void>(scheduler->submit(incoming[static_cast<std::size_t>(number)], now));
+        static_cast<void>(scheduler->expire(now));
+        dispatch& ended = running[static_cast<std::size_t>(number) % running.size()];
+        static_cast<void>(scheduler->attempt_ended(ended.request, {}, now));
+        if (auto next = scheduler->next_dispatch(now)) {
+            ended = *next;
+        }
+    }
+    rows.add({absl::StrCat(queued), absl::StrCat(instances),
+              absl::StrFormat("%.2f", watch.microseconds_each(cycles)),
+              absl::StrFormat("%.0f", static_cast<double>(full - empty) / queued),
+              absl::StrFormat("%.0f", static_cast<double>(empty - before) / 1024.0)});
+}
+
+void measure_registry(table& rows, int live) {
+    const std::size_t before = allocated_bytes();
+    once_registry registry(incarnation_id("entry.1"), {.cache_bytes = 0});
+    absl::Time now = start;
+    std::uint64_t last = 0;
+    const stopwatch watch;
+    for (int issued = 0; issued < live; ++issued) {
+        now += absl::Minutes(14) / live;
+        const once_identity identity = registry.issue(1, now).value();
+        static_cast<void>(registry.begin(identity, now));
+        static_cast<void>(registry.finish(identity, {}, now));
+        last = identity.sequence;
+    }
+    const double each = watch.microseconds_each(live);
+    const std::size_t used = allocated_bytes() - before;
+    rows.add({absl::StrCat(live), absl::StrCat(last), absl::StrFormat("%.3f", each),
+              absl::StrFormat("%.0f", static_cast<double>(used) / 1024.0),
+              absl::StrFormat("%.3f", static_cast<double>(used) / live)});
+}
+
+}  // namespace
+
+void measure_cost(std::uint64_t seed) {
+    table scheduling({"queued", "instances", "us per request", "bytes per queued", "KB empty"});
+    for (const int queued : {1'000, 10'000, 100'000}) {
+        measure_scheduler(seed, scheduling, queued, 10);
+    }
+    for (const int instances : {100, 1'000}) {
+        measure_scheduler(seed, scheduling, 10'000, instances);
+    }
+    scheduling.print(absl::StrCat("Scheduler: submit, expire, end and dispatch of one request, seed ", seed));
+    table identities({"live", "last sequence", "us per identity", "KB", "bytes per identity"});
+    for (const int live : {18'000, 180'000, 1'800'000}) {
+        measure_registry(identities, live);
+    }
+    identities.print("Registry: issue, begin and finish of one identity, without held responses");
+}
+
+}  // namespace masticpass::measure
--- /dev/null
+++ b/measure/support/once_part.cpp
@@ -0,0 +1,139 @@
+#include "support/once_part.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+
+#include "decision/serving/once_registry.h"
+#include "support/table.h"
+
+namespace masticpass::measure {
+namespace {
+
+constexpr double rate = 2'000.0;
+constexpr double store_writes_per_second = 500.0;
+constexpr double store_latency = 0.005;
+constexpr double batch_interval = 0.02;
+constexpr double run_time = 0.1;
+constexpr double queue_time = 0.05;
+constexpr double longest_wait = 2.0;
+constexpr double lost_at = 10.0;
+constexpr int entry_vms = 3;
+
+enum class variant { registry, write_per_request, batched_claims };
+
+struct once_figures {
+    std::int64_t requests = 0;
+    std::int64_t store_calls = 0;
+    // Refused because the store could not claim the request in time.
+    std::int64_t overloaded = 0;
+    // Of the lost entry VM: told "may have run", of these not started at all, and told "not run".
+    std::int64_t may_have_run = 0;
+    std::int64_t not_started = 0;
+    std::int64_t not_run = 0;
+    std::vector<double> added_wait;
+};
+
+// The time at which the right to run a request that arrives now is known; the request path continues from
+// there.
+class claim_source {
+public:
+    explicit claim_source(variant kind) : kind_(kind) {}
+
+    double claimed(double now, std::size_t entry, once_figures& figures) {
+        switch (kind_) {
+            case variant::registry:
+                return now;
+            case variant::write_per_request:
+                if (store_free_ + store_latency + 1.0 / store_writes_per_second > now + longest_wait) {
+                    return now + 2 * longest_wait;
+                }
+                ++figures.store_calls;
+                store_free_ = std::max(store_free_, now) + 1.0 / store_writes_per_second;
+                return store_free_ + store_latency;
+            case variant::batched_claims:
+                break;
+        }
+        if (now >= batch_end_[entry]) {
+            batch_end_[entry] = now + batch_interval;
+            ++figures.store_calls;
+            store_free_ = std::max(store_free_, batch_end_[entry]) + 1.0 / store_writes_per_second;
+            batch_claimed_[entry] = store_free_ + store_latency;
+        }
+        return batch_claimed_[entry];
+    }
+
+private:
+    variant kind_;
+    double store_free_ = 0.0;
+    double batch_end_[entry_vms] = {};
+    double batch_claimed_[entry_vms] = {};
+};
+
+// One of the entry VMs is lost at `lost_at`. A request of it that holds a claim may run on no other entry VM;
+// one without a claim did not run and may be sent again.
+once_figures run_variant(variant kind, std::uint64_t seed) {
+    boost::random::mt19937_64 random(seed);
+    once_figures figures;
+    claim_source claims(kind);
+    once_registry registry(incarnation_id("entry.1"));
+    for (double now = 0.0; now < lost_at;) {
+        now += boost::random::exponential_distribution<double>(rate)(random);
+        const auto entry = static_cast<std::size_t>(figures.requests++ % entry_vms);
+        if (kind == variant::registry && entry == 0) {
+            const absl::Time time = absl::UnixEpoch() + absl::Seconds(now);
+            const once_identity identity = registry.issue(1, time).value();
+            static_cast<void>(registry.begin(identity, time));
+        }
+        const double claimed = claims.claimed(now, entry, figures);
+        if (claimed - now > longest_wait) {
+            ++figures.overloaded;
+            continue;
+        }
+        figures.added_wait.push_back(claimed - now);
+        const double started = claimed + queue_time;
+        if (entry != 0 || started + run_time <= lost_at) {
+            continue;
+        }
+        // The claim of a request is written when the store gets it, half the latency before the answer.
+        const bool holds_claim = kind == variant::registry || claimed - store_latency / 2 <= lost_at;
+        figures.may_have_run += holds_claim ? 1 : 0;
+        figures.not_started += holds_claim && started > lost_at ? 1 : 0;
+        figures.not_run += holds_claim ? 0 : 1;
+    }
+    return figures;
+}
+
+}  // namespace
+
+void measure_once(std::uint64_t seed) {
+    table rows({"variant", "requests", "store calls", "calls per request let through", "added p50 ms",
+                "added p99 ms", "refused: store full", "lost VM: may have run", "of these not started",
+                "lost VM: not run"});
+    const std::vector<std::pair<std::string, variant>> variants = {
+        {"identities (this design)", variant::registry},
+        {"one write per request", variant::write_per_request},
+        {"claims in batches of 20 ms", variant::batched_claims}};
+    for (const auto& [name, kind] : variants) {
+        const once_figures figures = run_variant(kind, seed);
+        rows.add({name, absl::StrCat(figures.requests), absl::StrCat(figures.store_calls),
+                  absl::StrFormat("%.4f", static_cast<double>(figures.store_calls) /
+                                              static_cast<double>(figures.requests - figures.overloaded)),
+                  absl::StrFormat("%.1f", 1000.0 * percentile(figures.added_wait, 0.5)),
+                  absl::StrFormat("%.1f", 1000.0 * percentile(figures.added_wait, 0.99)),
+                  absl::StrCat(figures.overloaded), absl::StrCat(figures.may_have_run),
+                  absl::StrCat(figures.not_started), absl::StrCat(figures.not_run)});
+    }
+    rows.print(
+        absl::StrCat("Requests that must not be repeated, 2,000/s on 3 entry VMs, a store of 500 writes/s, "
+                     "one entry VM lost after 10 s, seed ",
+                     seed));
+}
+
+}  // namespace masticpass::measure
