--- a/source/decision/configuration/apply_change.cpp
+++ b/source/decision/configuration/apply_change.cpp
@@ -27,8 +27,10 @@
 // Text that is not UTF-8 changes when it is written to the record, so a repeated change would not be
 // recognised.
 bool is_author(const std::string& author) {
-    const auto stored = parse_json(write_json(author));
-    return !author.empty() && author.size() <= longest_author && stored && *stored == author;
+    Json::Value list(Json::arrayValue);
+    list.append(author);
+    const auto stored = parse_json(write_json(list));
+    return !author.empty() && author.size() <= longest_author && stored && *stored == list;
 }
 
 configuration_problems check_form(const configuration_change& change) {
--- a/source/decision/configuration/json_object_reader.h
+++ b/source/decision/configuration/json_object_reader.h
@@ -16,7 +16,8 @@
 
 namespace masticpass {
 
-// Parses one JSON text without comments, duplicate members or trailing text. The error says what is wrong.
+// Parses one JSON object or array. Duplicate members and trailing text are refused; comments, which carry no
+// content, pass in the places where the library skips them. The error says what is wrong.
 tl::expected<Json::Value, std::string> parse_json(std::string_view text);
 
 // The value as JSON text without white space; members are in alphabetical order.
--- a/source/operations/fleet_calls.cpp
+++ b/source/operations/fleet_calls.cpp
@@ -1,11 +1,13 @@
 #include "operations/fleet_calls.h"
 
+#include <exception>
 #include <utility>
 
 #include <jsonrpccpp/common/exception.h>
 
 #include "operations/view_json.h"
 #include "operations/wave_change.h"
+#include "telemetry/log.h"
 
 namespace masticpass {
 
@@ -46,6 +48,20 @@
 
 }  // namespace
 
+void fleet_calls::HandleMethodCall(jsonrpc::Procedure& procedure, const Json::Value& input,
+                                   Json::Value& output) {
+    try {
+        operations_server_stub::HandleMethodCall(procedure, input, output);
+    } catch (const jsonrpc::JsonRpcException&) {
+        throw;
+    } catch (const std::exception& exception) {
+        log_event(log_severity::error, "operations_call_failed",
+                  {{"method", procedure.GetProcedureName()}, {"reason", exception.what()}});
+        throw_error({.code = operations_error_code::internal,
+                     .message = "the call ended with a fault; it may have taken effect"});
+    }
+}
+
 Json::Value fleet_calls::status() {
     return to_json(service_.status());
 }
--- a/source/operations/fleet_calls.h
+++ b/source/operations/fleet_calls.h
@@ -18,6 +18,10 @@
     fleet_calls(jsonrpc::AbstractServerConnector& connector, fleet_service& service)
         : operations_server_stub(connector), service_(service) {}
 
+    // Reports an exception of the service as an internal error, without its text, and logs it.
+    void HandleMethodCall(jsonrpc::Procedure& procedure, const Json::Value& input,
+                          Json::Value& output) override;
+
     Json::Value status() override;
     Json::Value show_configuration() override;
     Json::Value propose_change(const Json::Value& change) override;
--- a/source/operations/fleet_service.h
+++ b/source/operations/fleet_service.h
@@ -16,10 +16,10 @@
 
 // This entry VM.
 struct service_status {
-    entry_id entry;
-    incarnation_id incarnation;
-    zone_name zone;
-    std::string version;
+    entry_id entry = {};
+    incarnation_id incarnation = {};
+    zone_name zone = {};
+    std::string version = {};
     // 0 if no configuration is in force.
     std::int64_t configuration_revision = 0;
     // How many configurations older than the one in force were refused.
@@ -31,7 +31,7 @@
 struct configuration_view {
     // 0 if no configuration is in force.
     std::int64_t revision = 0;
-    fleet_configuration configuration;
+    fleet_configuration configuration = {};
 };
 
 struct change_result {
@@ -42,34 +42,34 @@
 };
 
 struct pool_vm_view {
-    vm_id vm;
-    zone_name zone;
-    rack_name rack;
+    vm_id vm = {};
+    zone_name zone = {};
+    rack_name rack = {};
     // Phase in the pool record: serving, reserved, acting, failed, moving_out or incoming.
-    std::string phase;
+    std::string phase = {};
     // Calendar time.
     absl::Time since = absl::UnixEpoch();
     // What this entry VM observes beyond the record, for example "leaving" or "ejected"; empty if nothing.
-    std::string observed;
-    operation_id operation;
-    wave_name wave;
+    std::string observed = {};
+    operation_id operation = {};
+    wave_name wave = {};
 };
 
 struct pool_view {
-    pool_name pool;
+    pool_name pool = {};
     // Store revision of the pool record.
     std::int64_t record_revision = 0;
-    std::vector<pool_vm_view> vms;
+    std::vector<pool_vm_view> vms = {};
     // VMs that the budget counts as unavailable.
     int unavailable = 0;
 };
 
 // An entry VM as the answering one knows it.
 struct entry_view {
-    entry_id entry;
-    incarnation_id incarnation;
-    zone_name zone;
-    std::string address;
+    entry_id entry = {};
+    incarnation_id incarnation = {};
+    zone_name zone = {};
+    std::string address = {};
     // What its last heartbeat reported.
     std::int64_t configuration_revision = 0;
     bool is_store_reachable = false;
@@ -77,21 +77,21 @@
 };
 
 struct wave_view {
-    wave_name wave;
+    wave_name wave = {};
     // waiting, running, paused, paused_by_failures, cancelled or ended.
-    std::string status;
+    std::string status = {};
     int total = 0;
     int done = 0;
     int in_progress = 0;
-    std::vector<vm_id> never_returned;
+    std::vector<vm_id> never_returned = {};
     // Pools in which failures leave no budget.
-    std::vector<pool_name> blocked_pools;
+    std::vector<pool_name> blocked_pools = {};
 };
 
 struct drain_result {
-    pool_name pool;
+    pool_name pool = {};
     // The VM's phase after the call: reserved, or acting if the reboot has begun.
-    std::string phase;
+    std::string phase = {};
 };
 
 template <typename T>
--- a/source/operations/operations_server.cpp
+++ b/source/operations/operations_server.cpp
@@ -3,6 +3,9 @@
 #include <exception>
 #include <utility>
 
+#include <jsonrpccpp/common/errors.h>
+
+#include "decision/configuration/json_object_reader.h"
 #include "json_rpc/http_connector.h"
 #include "operations/fleet_calls.h"
 #include "telemetry/log.h"
@@ -15,25 +18,17 @@
 constexpr std::size_t worker_threads = 8;
 constexpr std::uint64_t largest_request = 2ULL << 20;
 
-// The library lets exceptions of its JSON parser pass, for example for a text that is nested too deeply, as
-// well as those of the service.
-void answer_exception(const httplib::Request&, httplib::Response& response, std::exception_ptr exception) {
-    std::string reason = "unknown exception";
-    try {
-        std::rethrow_exception(std::move(exception));
-    } catch (const std::exception& caught) {
-        reason = caught.what();
-    } catch (...) {
-        reason = "exception of unknown type";
-    }
-    log_event(log_severity::error, "operations_call_failed", {{"reason", reason}});
+// The library lets exceptions of its JSON parser pass, for example for a text that is nested too deeply.
+// fleet_calls turns all others into errors, so nothing has been called when this runs.
+void answer_unparsed(const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
+    log_event(log_severity::warning, "operations_call_unparsed");
     Json::Value answer(Json::objectValue);
     answer["jsonrpc"] = "2.0";
     answer["id"] = Json::nullValue;
-    answer["error"]["code"] = static_cast<int>(operations_error_code::internal);
-    answer["error"]["message"] = "the call ended with a fault; it may have taken effect";
+    answer["error"]["code"] = jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR;
+    answer["error"]["message"] = "the call is no valid JSON text";
     response.status = 200;
-    response.set_content(Json::FastWriter().write(answer), "application/json");
+    response.set_content(write_json(answer), "application/json");
 }
 
 }  // namespace
@@ -55,7 +50,7 @@
     : server_(std::move(server)),
       connector_(std::make_unique<http_connector>(server_->routes(), "/rpc")),
       calls_(std::make_unique<fleet_calls>(*connector_, service)) {
-    server_->routes().set_exception_handler(&answer_exception);
+    server_->routes().set_exception_handler(&answer_unparsed);
 }
 
 operations_server::~operations_server() {
