--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -11,6 +11,12 @@
 constexpr absl::Duration overload_memory = absl::Seconds(5);
 constexpr double overload_refusals = 3.0;
 
+// Whether the same request may succeed later because the load has fallen.
+bool is_caused_by_load(refusal_reason reason) {
+    return reason == refusal_reason::queue_full_items || reason == refusal_reason::queue_full_bytes ||
+           reason == refusal_reason::deadline_unreachable;
+}
+
 }  // namespace
 
 service_scheduler::service_scheduler(scheduler_options options)
@@ -155,8 +161,11 @@
 }
 
 refusal service_scheduler::refuse(verdict outcome, refusal_reason reason, std::string message) const {
-    return {
-        .outcome = outcome, .reason = reason, .message = std::move(message), .retry_after = retry_after()};
+    refusal result{.outcome = outcome, .reason = reason, .message = std::move(message)};
+    if (is_caused_by_load(reason)) {
+        result.retry_after = retry_after();
+    }
+    return result;
 }
 
 bool service_scheduler::can_start_in_time(const queued_request& request, absl::Time now) {
--- a/tests/decision/serving/service_scheduler_test.cpp
+++ b/tests/decision/serving/service_scheduler_test.cpp
@@ -161,6 +161,8 @@
     CHECK(scheduler.queued_bytes() == 0);
     CHECK(scheduler.submit(short_request("b"), start).has_value());
     CHECK(scheduler.cancel(request_id("a"), start) == cancel_result::unknown);
+    // Waiting does not help a caller whose id is in use.
+    CHECK_FALSE(scheduler.submit(short_request("b"), start).error().retry_after.has_value());
     scheduler.update_instances({{.instance = first_vm, .slots = 1}}, start);
     CHECK(next_id(scheduler) == "b");
     CHECK(scheduler.cancel(request_id("b"), start) == cancel_result::running);
