--- a/source/operations/operations_client.cpp
+++ b/source/operations/operations_client.cpp
@@ -12,7 +12,8 @@
 
 // True if the error came about before a connection existed, so that nothing was sent.
 bool is_before_sending(httplib::Error error) {
-    return error == httplib::Error::Connection || error == httplib::Error::BindIPAddress;
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+           error == httplib::Error::BindIPAddress;
 }
 
 operations_error_code to_error_code(int code) {
--- a/tests/operations/operations_test.cpp
+++ b/tests/operations/operations_test.cpp
@@ -164,6 +164,18 @@
           operations_error_code::unreachable);
 }
 
+// Guards against an unknown outcome for a call that timed out while it connected.
+TEST_CASE("a call that cannot connect in time was not sent") {
+    const auto server = http_server::create("127.0.0.1", 0, {.listen_backlog = 0}).value();
+    const operations_client client({"127.0.0.1", server->port()}, absl::Milliseconds(100));
+    // The first calls fill the queue of connections that wait to be accepted.
+    for (int call = 0; call < 4; ++call) {
+        CHECK_FALSE(client.status().has_value());
+    }
+    CHECK(error_of(client.drain_vm(vm_id("vm-1"), "ines", operation_id("d"))) ==
+          operations_error_code::unreachable);
+}
+
 TEST_CASE("an answer that is no JSON-RPC answer leaves the outcome unknown") {
     const auto server = http_server::create("127.0.0.1", 0, {}).value();
     std::string body;
