Use no slot before the pool records are as new as the own allotment

An entry VM that joined with an old pool record could send to a VM that the others had drained before.

--- a/source/agent/service_table_agent.cpp
+++ b/source/agent/service_table_agent.cpp
@@ -17,15 +17,17 @@
 
 service_table_agent::service_table_agent(const settings& configured, const fleet_state& fleet,
                                          const server_directory& directory, slot_ledger& ledger,
-                                         request_router& router)
+                                         request_router& router, std::function<bool()> has_fresh_pools)
     : configured_(configured),
       fleet_(fleet),
       directory_(directory),
       ledger_(ledger),
       router_(router),
+      has_fresh_pools_(std::move(has_fresh_pools)),
       thread_(update_interval, [this] { update(); }) {}
 
 void service_table_agent::update() {
+    is_fresh_ = is_fresh_ || has_fresh_pools_();
     const auto pools = fleet_.pools();
     ledger_.apply(fleet_.own_allotment());
     set_servers(pools);
@@ -90,7 +92,8 @@
         if (!server || server->zone != configured_.entry.zone) {
             continue;
         }
-        const bool accepts = vm.phase == vm_phase::serving && server->accepts_work() && server->role == pool;
+        const bool accepts =
+            is_fresh_ && vm.phase == vm_phase::serving && server->accepts_work() && server->role == pool;
         result.push_back({id, ledger_.usable_slots(id), accepts});
     }
     return result;
--- a/source/agent/service_table_agent.h
+++ b/source/agent/service_table_agent.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPASS_AGENT_SERVICE_TABLE_AGENT_H
 #define MASTICPASS_AGENT_SERVICE_TABLE_AGENT_H
 
+#include <functional>
 #include <vector>
 
 #include <absl/base/thread_annotations.h>
@@ -21,8 +22,12 @@
 // passed in. Thread safety: all methods may be called from any thread.
 class service_table_agent {
 public:
+    // `has_fresh_pools` says whether the pool records held are at least as new as this incarnation's entry in
+    // the allotment. Until then no slot is used: a VM that the others drained before this incarnation joined
+    // would look as if it served.
     service_table_agent(const settings& configured, const fleet_state& fleet,
-                        const server_directory& directory, slot_ledger& ledger, request_router& router);
+                        const server_directory& directory, slot_ledger& ledger, request_router& router,
+                        std::function<bool()> has_fresh_pools);
 
     // Applies a change at once.
     void update_now() { thread_.wake(); }
@@ -43,6 +48,9 @@
     const server_directory& directory_;
     slot_ledger& ledger_;
     request_router& router_;
+    const std::function<bool()> has_fresh_pools_;
+    // Pool records do not become stale again. Used by the agent's thread only.
+    bool is_fresh_ = false;
     mutable absl::Mutex mutex_;
     std::vector<drain_acknowledgement> draining_ ABSL_GUARDED_BY(mutex_);
     periodic_thread thread_;
--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -1,5 +1,6 @@
 #include "application/entry_vm.h"
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <set>
@@ -116,6 +117,9 @@
     void start_agents();
     void stop_agents();
     void take_record(const record& changed);
+    // The store revision up to which all records were seen; 0 if there is none.
+    std::uint64_t complete_revision() const;
+    bool has_fresh_pools() const;
     heartbeat own_heartbeat();
     std::vector<heartbeat> all_heartbeats();
     void receive(const heartbeat& beat);
@@ -147,8 +151,8 @@
     fleet_observer observer;
     fleet_observer placement_observer;
     std::atomic<bool> stopping = false;
-    // The highest store revision up to which all records were seen.
-    std::atomic<std::uint64_t> complete_revision = 0;
+    // The highest store revision that the watcher handed out.
+    std::atomic<std::uint64_t> watched_revision = 0;
 
     absl::BitGen watcher_random;
     absl::BitGen registration_random;
@@ -201,6 +205,17 @@
     return result;
 }
 
+std::uint64_t entry_vm::state::complete_revision() const {
+    return watcher && watcher->is_loaded() ? watched_revision.load() : 0;
+}
+
+bool entry_vm::state::has_fresh_pools() const {
+    // The watcher hands out changes in the order of their revisions, so with the allotment it has handed out
+    // all pool records that are older.
+    const auto held = records.find(allotment_key(configured.entry.zone));
+    return held && fleet.own_allotment().contains(self) && complete_revision() >= held->revision;
+}
+
 heartbeat entry_vm::state::own_heartbeat() {
     heartbeat beat;
     beat.entry = configured.entry.id;
@@ -209,7 +224,7 @@
     beat.zone = configured.entry.zone;
     beat.address = to_string(configured.listen.peer);
     beat.configuration_revision = static_cast<std::uint64_t>(fleet.configuration_revision());
-    beat.record_revision = complete_revision;
+    beat.record_revision = complete_revision();
     beat.store_reachable = watcher && watcher->is_store_reachable();
     beat.stopping = stopping;
     const settlement settled = ledger.announcement();
@@ -305,15 +320,14 @@
 
 void entry_vm::state::start_agents() {
     // Before the agents whose threads use them.
-    service_table = std::make_unique<service_table_agent>(configured, fleet, directory, ledger, router);
     watcher = std::make_unique<store_watcher>(
         store, retries, watcher_random, "", [this](const store_change& change) {
             const auto revision = static_cast<std::uint64_t>(change.entry.revision);
             records.offer({change.entry.key, change.removed ? std::string() : change.entry.value, revision});
-            if (watcher->is_loaded() && revision > complete_revision) {
-                complete_revision = revision;
-            }
+            watched_revision = std::max<std::uint64_t>(watched_revision, revision);
         });
+    service_table = std::make_unique<service_table_agent>(configured, fleet, directory, ledger, router,
+                                                          [this] { return has_fresh_pools(); });
     membership_events events;
     events.own_heartbeat = [this] { return own_heartbeat(); };
     events.received = [this](const heartbeat& beat) { receive(beat); };
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -318,6 +318,7 @@
         switch (service->shard->cancel(id)) {
             case cancel_result::removed:
                 return verdict::not_run;
+            case cancel_result::removed_after_attempt:
             case cancel_result::running:
                 return verdict::may_have_run;
             case cancel_result::unknown:
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -51,9 +51,10 @@
     const absl::MutexLock lock(&mutex_);
     const absl::Time now = clock_.now();
     const cancel_result result = scheduler_.cancel(id, now);
-    if (result == cancel_result::removed) {
-        notify(id, tl::unexpected(refusal{verdict::not_run, refusal_reason::cancelled,
-                                          "the caller cancelled the request"}));
+    if (result == cancel_result::removed || result == cancel_result::removed_after_attempt) {
+        const verdict outcome = result == cancel_result::removed ? verdict::not_run : verdict::may_have_run;
+        notify(id, tl::unexpected(
+                       refusal{outcome, refusal_reason::cancelled, "the caller cancelled the request"}));
     }
     advance(now);
     return result;
--- a/tests/decision/configuration/configuration_record_test.cpp
+++ b/tests/decision/configuration/configuration_record_test.cpp
@@ -82,17 +82,17 @@
     const configuration_record base = small_record();
     const configuration_record written = next_record(base, "mine", 30);
     const configuration_record other = next_record(base, "other", 31);
-    CHECK(outcome_of_write(written, written) == write_outcome::applied);
-    CHECK(outcome_of_write(next_record(written, "later", 32), written) == write_outcome::applied);
-    CHECK(outcome_of_write(other, written) == write_outcome::not_applied);
-    CHECK(outcome_of_write(next_record(other, "later", 32), written) == write_outcome::not_applied);
+    CHECK(outcome_of_write(written, written) == change_outcome::applied);
+    CHECK(outcome_of_write(next_record(written, "later", 32), written) == change_outcome::applied);
+    CHECK(outcome_of_write(other, written) == change_outcome::not_applied);
+    CHECK(outcome_of_write(next_record(other, "later", 32), written) == change_outcome::not_applied);
     // A stale read, or a write that is still on its way.
-    CHECK(outcome_of_write(base, written) == write_outcome::unknown);
+    CHECK(outcome_of_write(base, written) == change_outcome::unknown);
     configuration_record far = written;
     for (int number = 0; number < 300; ++number) {
         far = next_record(far, "n" + std::to_string(number), 40 + number);
     }
-    CHECK(outcome_of_write(far, written) == write_outcome::unknown);
+    CHECK(outcome_of_write(far, written) == change_outcome::unknown);
 }
 
 // Guards against a record that outgrows the store at the size expected in two years.
--- a/tests/decision/configuration/random_schedule.cpp
+++ b/tests/decision/configuration/random_schedule.cpp
@@ -91,14 +91,14 @@
         return;
     }
     switch (outcome_of_write(record, *vm.in_doubt)) {
-        case write_outcome::applied:
+        case change_outcome::applied:
             finish(vm, vm.in_doubt->revision);
             break;
-        case write_outcome::not_applied:
+        case change_outcome::not_applied:
             vm.in_doubt.reset();
             apply(vm, store_revision);
             break;
-        case write_outcome::unknown:
+        case change_outcome::unknown:
             if (broken_ == broken_rule::unknown_outcome) {
                 finish(vm, std::nullopt);
             } else {
