--- a/source/agent/service_table_agent.cpp
+++ b/source/agent/service_table_agent.cpp
@@ -17,15 +17,17 @@
 
 service_table_agent::service_table_agent(const settings& configured, const fleet_state& fleet,
                                          const server_directory& directory, slot_ledger& ledger,
-                                         request_router& router)
+                                         request_router& router, std::function<bool()> has_fresh_pools)
     : configured_(configured),
       fleet_(fleet),
       directory_(directory),
       ledger_(ledger),
       router_(router),
+      has_fresh_pools_(std::move(has_fresh_pools)),
       thread_(update_interval, [this] { update(); }) {}
 
 void service_table_agent::update() {
+    is_fresh_ = is_fresh_ || has_fresh_pools_();
     // Taken before the inputs, so that a change during the update leads to another one.
     const input_versions present = versions();
     if (applied_ == present) {
@@ -41,7 +43,7 @@
 }
 
 service_table_agent::input_versions service_table_agent::versions() const {
-    return {fleet_.version(), directory_.version(), ledger_.version()};
+    return {fleet_.version(), directory_.version(), ledger_.version(), is_fresh_};
 }
 
 void service_table_agent::set_servers(const std::map<pool_name, stored_pool_record>& pools) {
@@ -100,7 +102,8 @@
         if (!server || server->zone != configured_.entry.zone) {
             continue;
         }
-        const bool accepts = vm.phase == vm_phase::serving && server->accepts_work() && server->role == pool;
+        const bool accepts =
+            is_fresh_ && vm.phase == vm_phase::serving && server->accepts_work() && server->role == pool;
         result.push_back({id, ledger_.usable_slots(id), accepts});
     }
     return result;
--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -11,6 +11,12 @@
 constexpr absl::Duration overload_memory = absl::Seconds(5);
 constexpr double overload_refusals = 3.0;
 
+// Whether the same request may succeed later because the load has fallen.
+bool is_caused_by_load(refusal_reason reason) {
+    return reason == refusal_reason::queue_full_items || reason == refusal_reason::queue_full_bytes ||
+           reason == refusal_reason::deadline_unreachable;
+}
+
 }  // namespace
 
 service_scheduler::service_scheduler(scheduler_options options)
@@ -38,7 +44,8 @@
                                           "the deadline cannot be met at the present load"));
     }
     if (!make_room(entry, now)) {
-        const bool items = queue_.items() >= options_.largest_items;
+        const bool items =
+            queue_.items() >= options_.largest_items && request.bytes <= options_.largest_bytes;
         return tl::make_unexpected(refuse(
             verdict::not_run, items ? refusal_reason::queue_full_items : refusal_reason::queue_full_bytes,
             "the queue is full"));
@@ -52,8 +59,9 @@
 
 cancel_result service_scheduler::cancel(const request_id& id, absl::Time /*now*/) {
     if (queue_.find(id) != nullptr) {
-        queue_.take(id);
-        return cancel_result::removed;
+        const queued_request taken = queue_.take(id);
+        return taken.outcome == verdict::not_run ? cancel_result::removed
+                                                 : cancel_result::removed_after_attempt;
     }
     const auto found = running_.find(id);
     if (found == running_.end()) {
@@ -153,8 +161,11 @@
 }
 
 refusal service_scheduler::refuse(verdict outcome, refusal_reason reason, std::string message) const {
-    return {
-        .outcome = outcome, .reason = reason, .message = std::move(message), .retry_after = retry_after()};
+    refusal result{.outcome = outcome, .reason = reason, .message = std::move(message)};
+    if (is_caused_by_load(reason)) {
+        result.retry_after = retry_after();
+    }
+    return result;
 }
 
 bool service_scheduler::can_start_in_time(const queued_request& request, absl::Time now) {
