Skip ticks without open requests and observe a quiet fleet every 2 s

Cause: per-thread processor times of an entry VM show 0.57% of a core for maintenance rounds, 0.54% for the ticker and 0.2% for probes. A tick read the state of each of 181 idle services 200 times a second. Ruled out: probes, and the service table's thread (0.25%).

--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -20,7 +20,7 @@
 constexpr absl::Duration round_interval = absl::Milliseconds(250);
 // Interval while no VM is in an operation, no wave runs and no record changes. Only observations can lead to
 // an action then, and these take a second or more to come in.
-constexpr absl::Duration quiet_interval = absl::Seconds(1);
+constexpr absl::Duration quiet_interval = absl::Seconds(2);
 
 bool is_in_operation(const maintenance_view& view) {
     const auto runs = [](const declared_wave& wave) { return wave.state == wave_state::running; };
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -368,6 +368,10 @@
 }
 
 void request_router::tick() {
+    // Reading the state of each of 181 services takes half a percent of a core at 200 ticks/s.
+    if (open_requests_ == 0) {
+        return;
+    }
     const auto services = table();
     for (const auto& [name, service] : *services) {
         service->shard->tick();
