Assert the promises inside the program

A process whose state breaks a promise ends: a write that disrupts a VM beyond the budget, more requests in flight than slots owned, an identity settled by a run that does not hold it, a waiting request ended twice, or a revision in force that goes down.

--- a/source/agent/fleet_state.cpp
+++ b/source/agent/fleet_state.cpp
@@ -4,6 +4,7 @@
 
 #include "agent/allotment_json.h"
 #include "agent/record_keys.h"
+#include "common/invariant.h"
 #include "telemetry/log.h"
 
 namespace masticpass {
@@ -39,6 +40,8 @@
         if (gate_.offer(revision) != gate_result::newer) {
             return;
         }
+        check_invariant(!configuration_ || revision > configuration_->revision,
+                        "the revision in force does not go down");
         configuration_ = std::make_shared<const configuration_record>(std::move(*parsed));
     }
     metrics_.set({"masticpass_configuration_revision", "", ""}, static_cast<double>(revision));
--- a/source/decision/maintenance/pool_step.cpp
+++ b/source/decision/maintenance/pool_step.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "common/invariant.h"
+
 namespace masticpass {
 
 namespace {
@@ -65,6 +67,7 @@
     if (record_ != base_->record) {
         record_.last_change = change_;
         record_.last_writer = view_.self;
+        check_invariant(!disrupts_more() || !is_over_budget(), "a write that disrupts a VM keeps the budget");
         actions_.insert(actions_.begin(), write_record{pool_, base_->revision, record_});
     }
     return std::move(actions_);
@@ -268,6 +271,15 @@
     return vm.wave.empty() && !paused;
 }
 
+bool pool_step::disrupts_more() const {
+    return std::any_of(record_.vms.begin(), record_.vms.end(), [this](const auto& entry) {
+        const auto& [id, vm] = entry;
+        const auto before = base_->record.vms.find(id);
+        const bool served = before != base_->record.vms.end() && before->second.phase == vm_phase::serving;
+        return served && (vm.phase == vm_phase::reserved || vm.phase == vm_phase::moving_out);
+    });
+}
+
 bool pool_step::is_over_budget() const {
     return limits_ != nullptr &&
            unavailability(record_, observed_, limits_->minimum_vms).exceeded(limits_->budget).has_value();
--- a/source/decision/maintenance/pool_step.h
+++ b/source/decision/maintenance/pool_step.h
@@ -45,6 +45,8 @@
     const vm_observation* observation(const vm_id& id) const;
     const stored_pool_record* stored(const pool_name& pool) const;
     bool is_wanted(const pool_vm& vm) const;
+    // True if the changed record takes a serving VM out of service.
+    bool disrupts_more() const;
     bool is_over_budget() const;
     operation_context context(const vm_id& id) const;
     // Keeps the changed record if the transition succeeded; returns whether it did.
--- a/source/decision/serving/slot_allotment.cpp
+++ b/source/decision/serving/slot_allotment.cpp
@@ -4,6 +4,8 @@
 #include <bit>
 #include <utility>
 
+#include "common/invariant.h"
+
 namespace masticpass {
 namespace {
 
@@ -58,11 +60,12 @@
         return false;
     }
     ++use.in_flight;
+    check_invariant(use.in_flight <= std::popcount(use.owned), "requests in flight fit the slots owned");
     return true;
 }
 
 void slot_allotment::release_slot(const vm_id& instance) {
-    --use_of(instance).in_flight;
+    check_invariant(--use_of(instance).in_flight >= 0, "a released slot was acquired");
 }
 
 bool slot_allotment::acquire_connection(const vm_id& instance) {
@@ -75,7 +78,7 @@
 }
 
 void slot_allotment::release_connection(const vm_id& instance) {
-    --use_of(instance).connections;
+    check_invariant(--use_of(instance).connections >= 0, "a released connection was acquired");
 }
 
 int slot_allotment::surplus_connections(const vm_id& instance) {
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "common/invariant.h"
+
 namespace masticpass {
 
 namespace {
@@ -154,7 +156,9 @@
     const absl::Time now = parts_.time_source.now();
     // The identity may expire while the request runs; its record is gone then, and nothing is left to settle.
     if (!result && result.error().outcome == verdict::not_run) {
-        static_cast<void>(once_.revert(identity, now));
+        const auto reverted = once_.revert(identity, now);
+        check_invariant(reverted || reverted.error() != once_error::not_in_progress,
+                        "an identity is settled by the run that holds it");
         return;
     }
     once_response response;
@@ -164,7 +168,9 @@
         response.content_type = result->content_type;
         response.body = result->body;
     }
-    static_cast<void>(once_.finish(identity, std::move(response), now));
+    const auto finished = once_.finish(identity, std::move(response), now);
+    check_invariant(finished || finished.error() != once_error::not_in_progress,
+                    "an identity is settled by the run that holds it");
 }
 
 request_result request_router::forward_to_issuer(const service_request& request,
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -3,6 +3,8 @@
 #include <memory>
 #include <utility>
 
+#include "common/invariant.h"
+
 namespace masticpass {
 
 namespace {
@@ -151,6 +153,7 @@
     if (found == waiters_.end()) {
         return;
     }
+    check_invariant(!found->second->outcome, "a waiting request is dispatched or refused once");
     found->second->outcome = std::move(outcome);
     found->second->changed.Signal();
 }
