--- a/source/agent/placement_agent.cpp
+++ b/source/agent/placement_agent.cpp
@@ -116,7 +116,8 @@
 void placement_agent::plan(absl::Time now) {
     const auto record = fleet_.configuration();
     const fleet_configuration& configuration = record->configuration;
-    const auto stored = fleet_.pools();
+    const auto held = fleet_.pools();
+    const fleet_state::pool_map& stored = *held;
     const auto vms = sources_.vms();
     std::size_t fleet_size = 0;
     for (const auto& [name, pool] : stored) {
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -78,8 +78,8 @@
     if (!configured_) {
         return refuse(verdict::not_run, refusal_reason::no_configuration, "no configuration is in force yet");
     }
-    const auto found = services_.find(service);
-    if (found == services_.end()) {
+    const auto found = services_->find(service);
+    if (found == services_->end()) {
         return refuse(verdict::not_run, refusal_reason::unknown_service,
                       "no service " + service.value() + " is declared");
     }
@@ -320,7 +320,8 @@
 }
 
 std::optional<verdict> request_router::cancel_here(const request_id& id) {
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         switch (service->shard->cancel(id)) {
             case cancel_result::removed:
                 return verdict::not_run;
@@ -353,7 +354,8 @@
     {
         const absl::MutexLock lock(&services_mutex_);
         configured_ = true;
-        removed = std::exchange(services_, {});
+        removed = *services_;
+        auto present_services = std::make_shared<service_table>();
         for (const routed_service& service : services) {
             const auto present = removed.extract(service.service);
             std::shared_ptr<served> entry = present.empty() ? std::make_shared<served>() : present.mapped();
@@ -362,8 +364,9 @@
             }
             entry->urgent = service.urgent;
             entry->shard->update_instances(service.instances);
-            services_.emplace(service.service, std::move(entry));
+            present_services->emplace(service.service, std::move(entry));
         }
+        services_ = std::move(present_services);
     }
     for (const auto& [name, service] : removed) {
         service->shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
@@ -371,47 +374,47 @@
 }
 
 void request_router::tick() {
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         service->shard->tick();
     }
 }
 
 void request_router::check_ejected_servers() {
     std::set<vm_id> ejected;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         while (const auto vm = service->shard->next_probe()) {
             const auto server = parts_.directory.find(*vm);
             const bool healthy = server && parts_.backends.probe(server->address, ejected_probe_time_limit) ==
                                                probe_result::healthy;
             service->shard->probe_ended(*vm, healthy);
         }
-        for (const server_state& server : parts_.directory.servers()) {
-            if (service->shard->is_ejected(server.vm)) {
-                ejected.insert(server.vm);
-            }
+        for (vm_id& vm : service->shard->ejected_servers()) {
+            ejected.insert(std::move(vm));
         }
     }
-    for (const server_state& server : parts_.directory.servers()) {
-        parts_.directory.set_ejected(server.vm, ejected.contains(server.vm));
-    }
+    parts_.directory.set_ejected(ejected);
 }
 
 void request_router::begin_stop() {
     stopping_ = true;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         service->shard->refuse_queued(refusal_reason::stopping, "this entry VM is stopping");
     }
 }
 
 std::vector<routed_load> request_router::loads() const {
     std::vector<routed_load> result;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         result.push_back({name, service->shard->load()});
     }
     return result;
 }
 
-request_router::service_table request_router::table() const {
+std::shared_ptr<const request_router::service_table> request_router::table() const {
     const absl::MutexLock lock(&services_mutex_);
     return services_;
 }
