Test failures of entry VMs and the store in real processes

The harness starts the stand-ins and entry VMs on loopback. The tests kill and freeze entry VMs in the middle of a wave and under load, take the store down, and lose its responses.

--- /dev/null
+++ b/tests/process/maintenance_failure_test.cpp
@@ -0,0 +1,141 @@
+#include <csignal>
+
+#include <absl/strings/match.h>
+#include <doctest/doctest.h>
+
+#include "fakes/wait_until.h"
+#include "process/budget_watch.h"
+#include "process/test_fleet.h"
+
+namespace masticpass::process_test {
+
+namespace {
+
+using fakes::wait_until;
+
+// The stand-in's boot identities end with the number of the boot, from 1.
+void require_each_rebooted_once(const test_fleet& fleet) {
+    for (const Json::Value& vm : fleet.list_vms()) {
+        INFO(vm.toStyledString());
+        REQUIRE(absl::EndsWith(vm["boot_id"].asString(), "-boot-2"));
+    }
+}
+
+int count_rebooted(const test_fleet& fleet) {
+    int count = 0;
+    for (const Json::Value& vm : fleet.list_vms()) {
+        count += absl::EndsWith(vm["boot_id"].asString(), "-boot-1") ? 0 : 1;
+    }
+    return count;
+}
+
+// The VM that the entry VM sees out of service by the pool record; empty if there is none.
+std::string disrupted_vm(const test_fleet& fleet, const std::string& entry) {
+    const Json::Value pool = fleet.operate(entry).show_pool(pool_name("proofs")).value();
+    for (const Json::Value& vm : pool["vms"]) {
+        if (vm["phase"].asString() != "serving") {
+            return vm["vm"].asString();
+        }
+    }
+    return {};
+}
+
+void require_nothing_lost(const Json::Value& seen) {
+    REQUIRE(seen["complete"].asInt() > 0);
+    REQUIRE(seen["complete"].asInt() == seen["sent"].asInt());
+    REQUIRE(seen["resent"].asInt() == 0);
+}
+
+}  // namespace
+
+// Guards against a wave that stops, or exceeds its budget, when the entry VM that carries it out dies.
+TEST_CASE("a wave ends within its budget after the acting entry VM is killed") {
+    test_fleet fleet;
+    fleet.start_serving();
+    const budget_watch watch(fleet);
+    const std::string agent = fleet.agent();
+    const std::string other = fleet.other_than(agent);
+    const auto caller = fleet.start_caller({"--seconds", "8", "--once-share", "1"});
+    fleet.declare_wave(other, "autumn");
+    REQUIRE(wait_until([&] { return watch.down_now() > 0; }));
+    fleet.entry(agent).send_signal(SIGKILL);
+    REQUIRE(wait_until([&] { return fleet.wave_status(other, "autumn") == "ended"; }));
+    REQUIRE(watch.most_down() == 1);
+    require_each_rebooted_once(fleet);
+    const Json::Value seen = test_fleet::finish(*caller);
+    REQUIRE(seen["complete"].asInt() > 0);
+    REQUIRE(seen["incomplete"].asInt() == 0);
+    fleet.require_clean_backends();
+}
+
+// Guards against new disruptions, or callers that lose requests, while no reservation can be written.
+TEST_CASE("a wave pauses while the store is down, serving goes on, and the wave ends afterwards") {
+    test_fleet fleet;
+    fleet.start_serving();
+    const budget_watch watch(fleet);
+    const std::string entry = fleet.agent();
+    fleet.declare_wave(entry, "autumn");
+    REQUIRE(wait_until([&] { return watch.down_now() > 0; }));
+    fleet.control("", "/control/faults", object("store_down", true));
+    // The VM that is down takes the whole budget, so no other reservation was written before.
+    REQUIRE(count_rebooted(fleet) == 0);
+    const auto caller = fleet.start_caller({"--seconds", "4"});
+    const auto refused =
+        fleet.operate(entry).set_wave_state(wave_name("autumn"), "paused", "test", change_id("p"));
+    REQUIRE(!refused);
+    REQUIRE(refused.error().code == operations_error_code::unavailable);
+    require_nothing_lost(test_fleet::finish(*caller));
+    REQUIRE(count_rebooted(fleet) == 1);
+    REQUIRE(watch.down_now() == 0);
+    fleet.control("", "/control/faults", object("store_down", false));
+    REQUIRE(wait_until([&] { return fleet.wave_status(entry, "autumn") == "ended"; }));
+    REQUIRE(watch.most_down() == 1);
+    require_each_rebooted_once(fleet);
+    fleet.require_clean_backends();
+}
+
+// Guards against a step that is carried out twice because the response to its write was lost.
+TEST_CASE("a wave ends within its budget although store and reboot responses are lost") {
+    test_fleet fleet;
+    fleet.start_serving();
+    const budget_watch watch(fleet);
+    const std::string entry = fleet.agent();
+    fleet.control("", "/control/faults", object("lose_write_responses", 1));
+    fleet.declare_wave(entry, "autumn");
+    REQUIRE((*fleet.operate(entry).status())["configuration_revision"].asInt() == 2);
+    fleet.control("", "/control/faults", object("lose_write_responses", 10));
+    fleet.control("", "/control/faults", object("lose_reboot_responses", 2));
+    const auto caller = fleet.start_caller({"--seconds", "5"});
+    REQUIRE(wait_until([&] { return fleet.wave_status(entry, "autumn") == "ended"; }));
+    REQUIRE(watch.most_down() == 1);
+    require_each_rebooted_once(fleet);
+    require_nothing_lost(test_fleet::finish(*caller));
+    fleet.require_clean_backends();
+}
+
+// Guards against a paused entry VM that resumes with an old view and disrupts a second VM or the same one
+// again.
+TEST_CASE("an entry VM that was frozen in the middle of a wave breaks no budget when it resumes") {
+    test_fleet fleet;
+    fleet.start_serving();
+    const budget_watch watch(fleet);
+    const std::string agent = fleet.agent();
+    const std::string other = fleet.other_than(agent);
+    fleet.declare_wave(other, "autumn");
+    REQUIRE(wait_until([&] { return watch.down_now() > 0; }));
+    fleet.entry(agent).send_signal(SIGSTOP);
+    const std::string first = disrupted_vm(fleet, other);
+    // The others take over: they release the VM and reserve another one.
+    REQUIRE(wait_until([&] {
+        const std::string now = disrupted_vm(fleet, other);
+        return !now.empty() && now != first;
+    }));
+    fleet.entry(agent).send_signal(SIGCONT);
+    REQUIRE(wait_until([&] { return fleet.wave_status(other, "autumn") == "ended"; }));
+    REQUIRE(wait_until([&] { return fleet.wave_status(agent, "autumn") == "ended"; }));
+    REQUIRE(watch.most_down() == 1);
+    require_each_rebooted_once(fleet);
+    fleet.require_clean_backends();
+}
+
+}  // namespace masticpass::process_test
