--- /dev/null
+++ b/tests/process/caller_input_test.cpp
@@ -0,0 +1,222 @@
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fakes/wait_until.h"
+#include "process/test_fleet.h"
+
+namespace masticpass::process_test {
+
+namespace {
+
+using fakes::wait_until;
+
+constexpr fleet_options small = {.vms_per_zone = 1, .entries_per_zone = 1};
+
+caller_answer post(const test_fleet& fleet, const std::string& path, const httplib::Headers& headers,
+                   const std::string& body) {
+    httplib::Client client("http://" + fleet.address("entry-a1", test_fleet::listener::caller));
+    client.set_read_timeout(std::chrono::seconds(10));
+    const auto answer = client.Post(path, headers, body, "application/json");
+    if (!answer) {
+        return {};
+    }
+    return {answer->status, answer->get_header_value("Masticpass-Verdict"),
+            answer->get_header_value("Masticpass-Reason"), answer->body, absl::ZeroDuration()};
+}
+
+struct bad_request {
+    std::string name;
+    httplib::Headers headers;
+    std::string reason;
+    std::string verdict = "not-run";
+    std::string service = "proofs";
+    std::string body = R"({"job":"bad"})";
+};
+
+// Sends bytes that are no HTTP request and returns what comes back until the connection ends.
+std::string send_raw(const test_fleet& fleet, const std::string& bytes) {
+    const auto target = parse_socket_address(fleet.address("entry-a1", test_fleet::listener::caller)).value();
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(target.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval limit{10, 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    REQUIRE(::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    static_cast<void>(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    ::shutdown(descriptor, SHUT_WR);
+    std::string answer;
+    char buffer[4096];
+    ssize_t size = 0;
+    while ((size = ::recv(descriptor, buffer, sizeof buffer, 0)) > 0) {
+        answer.append(buffer, static_cast<std::size_t>(size));
+    }
+    ::close(descriptor);
+    return answer;
+}
+
+}  // namespace
+
+// Guards against bad input that runs, ends the process, or gets a response without a verdict.
+TEST_CASE("bad input on the callers' interface is refused as not run") {
+    test_fleet fleet(small);
+    fleet.start_serving();
+    const std::pair<std::string, std::string> timeout = {"Masticpass-Timeout-Ms", "5000"};
+    const std::pair<std::string, std::string> repeatable = {"Masticpass-Repeatable", "yes"};
+    const std::string own_incarnation = (*fleet.operate("entry-a1").status())["incarnation"].asString();
+    const std::vector<bad_request> requests = {
+        {"no deadline", {repeatable}, "invalid-request"},
+        {"deadline is no number", {{"Masticpass-Timeout-Ms", "soon"}, repeatable}, "invalid-request"},
+        {"deadline out of range",
+         {{"Masticpass-Timeout-Ms", "99999999999999999999"}, repeatable},
+         "invalid-request"},
+        {"deadline is zero", {{"Masticpass-Timeout-Ms", "0"}, repeatable}, "deadline-passed"},
+        {"past deadline", {{"Masticpass-Timeout-Ms", "-5"}, repeatable}, "deadline-passed"},
+        {"worth is no number", {timeout, repeatable, {"Masticpass-Worth", "nan"}}, "invalid-request"},
+        {"negative run time", {timeout, repeatable, {"Masticpass-Declared-Ms", "-1"}}, "invalid-request"},
+        {"repeatable is unclear", {timeout, {"Masticpass-Repeatable", "perhaps"}}, "invalid-request"},
+        {"kind with a slash", {timeout, repeatable, {"Masticpass-Kind", "a/b"}}, "invalid-request"},
+        {"kind too long",
+         {timeout, repeatable, {"Masticpass-Kind", std::string(201, 'k')}},
+         "invalid-request"},
+        {"unknown service", {timeout, repeatable}, "unknown-service", "not-run", "no-such"},
+        {"no identity", {timeout}, "identity-required"},
+        {"identity of wrong form",
+         {timeout, {"Masticpass-Request-Id", "not-an-identity"}},
+         "identity-unknown"},
+        {"identity never issued",
+         {timeout, {"Masticpass-Request-Id", own_incarnation + ".999999999"}},
+         "identity-unknown"},
+        {"sequence out of range",
+         {timeout, {"Masticpass-Request-Id", own_incarnation + ".99999999999999999999999"}},
+         "identity-unknown"},
+        // Its issuer may have run it before it was lost.
+        {"identity of a lost issuer",
+         {timeout, {"Masticpass-Request-Id", "0000000000000000-00000000.1"}},
+         "issuer-gone",
+         "may-have-run"},
+        {"body too large",
+         {timeout, repeatable},
+         "request-too-large",
+         "not-run",
+         "proofs",
+         std::string((8U << 20U) + 1, 'x')},
+        {"header line too long",
+         {timeout, repeatable, {"X-Long", std::string(20000, 'x')}},
+         "invalid-request"},
+    };
+    for (const bad_request& bad : requests) {
+        const caller_answer answer =
+            post(fleet, "/v1/services/" + bad.service + "/requests", bad.headers, bad.body);
+        INFO(bad.name, ": ", answer.status, " ", answer.verdict, " ", answer.reason, " ", answer.body);
+        REQUIRE(answer.status >= 400);
+        REQUIRE(answer.verdict == bad.verdict);
+        REQUIRE(answer.reason == bad.reason);
+        Json::Value body;
+        REQUIRE(Json::Reader().parse(answer.body, body));
+        REQUIRE(body["verdict"].asString() == bad.verdict);
+        REQUIRE(!body["message"].asString().empty());
+    }
+    for (const std::string& vm : fleet.vms()) {
+        REQUIRE(fleet.counters(vm)["distinct_jobs"].asInt() == 0);
+    }
+    REQUIRE(post(fleet, "/v1/services/proofs/requests", {timeout, repeatable}, R"({"job":"good"})").status ==
+            200);
+}
+
+// Guards against bytes that are no HTTP and that end the process or occupy a connection.
+TEST_CASE("bytes that are no HTTP request are refused and the entry VM goes on") {
+    test_fleet fleet(small);
+    fleet.start_serving();
+    const std::vector<std::string> inputs = {
+        "\r\n\r\n",
+        "POST\r\n\r\n",
+        std::string(100000, 'x'),
+        "POST /v1/services/proofs/requests HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "POST /v1/services/proofs/requests HTTP/1.1\r\nContent-Length: 100\r\n\r\n{}",
+        "POST /v1/services/proofs/requests HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        std::string("\0\1\2\3\r\n\r\n", 8),
+    };
+    for (const std::string& input : inputs) {
+        const std::string answer = send_raw(fleet, input);
+        INFO(input.substr(0, 60), " -> ", answer);
+        // Either the connection is closed, or the answer is an error with a verdict.
+        REQUIRE((answer.empty() || (answer.find("HTTP/1.1 4") == 0 &&
+                                    answer.find("Masticpass-Verdict: not-run") != std::string::npos)));
+    }
+    REQUIRE(post(fleet, "/v1/services/proofs/requests",
+                 {{"Masticpass-Timeout-Ms", "5000"}, {"Masticpass-Repeatable", "yes"}}, R"({"job":"good"})")
+                .status == 200);
+}
+
+// Guards against cancelled requests that keep their places in the queue.
+TEST_CASE("a wave of cancellations frees the places in the queue at once") {
+    test_fleet fleet(small);
+    // Alone, so that no peer takes requests.
+    fleet.start_entry("entry-a1");
+    fleet.declare();
+    constexpr int slots = 8;
+    constexpr int queued = 40;
+    std::vector<caller_answer> answers(slots + queued);
+    std::vector<std::thread> callers;
+    const auto submit = [&](int index, int run_ms) {
+        callers.emplace_back([&, index, run_ms] {
+            const std::string id = absl::StrCat("repeatable-", index);
+            answers[static_cast<std::size_t>(index)] =
+                fleet.send("entry-a1",
+                           {{"Masticpass-Timeout-Ms", "15000"},
+                            {"Masticpass-Repeatable", "yes"},
+                            {"Masticpass-Request-Id", id}},
+                           absl::StrCat(R"({"job":")", id, R"(","run_ms":)", run_ms, "}"));
+        });
+    };
+    for (int index = 0; index < slots; ++index) {
+        submit(index, 4000);
+    }
+    const bool are_slots_taken = wait_until([&] { return fleet.counters("vm-a1")["running"].asInt() > 0; });
+    for (int index = slots; index < slots + queued; ++index) {
+        submit(index, 5);
+    }
+    const int free_of_work = slots + queued;
+    const bool are_queued = wait_until([&] {
+        return fleet.metric("masticpass_requests_open") == free_of_work &&
+               fleet.metric("masticpass_queued_requests{") >= queued;
+    });
+    httplib::Client client("http://" + fleet.address("entry-a1", test_fleet::listener::caller));
+    client.set_keep_alive(true);
+    const absl::Time start = absl::Now();
+    std::vector<std::string> verdicts;
+    for (int index = slots; index < slots + queued; ++index) {
+        const auto answer = client.Delete(absl::StrCat("/v1/requests/repeatable-", index));
+        verdicts.push_back(answer ? answer->get_header_value("Masticpass-Verdict") : "");
+    }
+    const absl::Duration took = absl::Now() - start;
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    REQUIRE(are_slots_taken);
+    REQUIRE(are_queued);
+    // Shorter than the running work, so the places were not freed by it.
+    REQUIRE(took < absl::Seconds(2));
+    for (int index = 0; index < slots + queued; ++index) {
+        const caller_answer& answer = answers[static_cast<std::size_t>(index)];
+        INFO(index, ": ", answer.status, " ", answer.verdict, " ", answer.reason);
+        if (index < slots) {
+            REQUIRE(answer.status == 200);
+            continue;
+        }
+        REQUIRE(verdicts[static_cast<std::size_t>(index - slots)] == "not-run");
+        REQUIRE(answer.verdict == "not-run");
+        REQUIRE(answer.reason == "cancelled");
+        REQUIRE(answer.elapsed < absl::Seconds(4));
+    }
+    REQUIRE(fleet.counters("vm-a1")["distinct_jobs"].asInt() == slots);
+}
+
+}  // namespace masticpass::process_test
