--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -1,5 +1,6 @@
 #include "application/entry_vm.h"
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <set>
@@ -18,6 +19,7 @@
 #include "agent/maintenance_agent.h"
 #include "agent/membership_agent.h"
 #include "agent/metrics_retry_counter.h"
+#include "agent/placement_agent.h"
 #include "agent/probe_agent.h"
 #include "agent/record_cache.h"
 #include "agent/record_keys.h"
@@ -46,6 +48,8 @@
 
 namespace {
 
+// The entry VM that rendezvous hashing gives this key starts the moves of placement.
+constexpr std::string_view placement_key = "placement";
 constexpr absl::Duration tick_interval = absl::Milliseconds(5);
 constexpr absl::Duration housekeeping_interval = absl::Seconds(1);
 // The balancer needs this long to see that the health address refuses.
@@ -106,14 +110,16 @@
           router({self, time_source, backends, peers, forwards, directory, ledger, metrics},
                  to_once_options(used)),
           retries(metrics),
-          observer(fleet, time_source,
-                   {[this] { return listed ? listed->latest() : std::make_shared<const vm_listing>(); },
-                    [this] { return all_heartbeats(); },
-                    [this](const allotment_member& member) { return is_gone(member); }}) {}
+          observer(fleet, time_source, observer_sources()),
+          placement_observer(fleet, time_source, observer_sources()) {}
 
+    fleet_sources observer_sources();
     void start_agents();
     void stop_agents();
     void take_record(const record& changed);
+    // The store revision up to which all records were seen; 0 if there is none.
+    std::uint64_t complete_revision() const;
+    bool has_fresh_pools() const;
     heartbeat own_heartbeat();
     std::vector<heartbeat> all_heartbeats();
     void receive(const heartbeat& beat);
@@ -141,10 +147,12 @@
     forwarding forwards;
     request_router router;
     metrics_retry_counter retries;
+    // One for each agent, since an observer serves one thread.
     fleet_observer observer;
+    fleet_observer placement_observer;
     std::atomic<bool> stopping = false;
-    // The highest store revision up to which all records were seen.
-    std::atomic<std::uint64_t> complete_revision = 0;
+    // The highest store revision that the watcher handed out.
+    std::atomic<std::uint64_t> watched_revision = 0;
 
     absl::BitGen watcher_random;
     absl::BitGen registration_random;
@@ -156,6 +164,7 @@
     std::unique_ptr<service_table_agent> service_table;
     std::unique_ptr<probe_agent> probes;
     std::unique_ptr<maintenance_agent> maintenance;
+    std::unique_ptr<placement_agent> placement;
     std::unique_ptr<configuration_agent> changes;
     std::unique_ptr<entry_fleet_service> operator_calls;
     std::unique_ptr<periodic_thread> ticker;
@@ -166,6 +175,12 @@
     std::unique_ptr<status_server> status;
 };
 
+fleet_sources entry_vm::state::observer_sources() {
+    return {[this] { return listed ? listed->latest() : std::make_shared<const vm_listing>(); },
+            [this] { return all_heartbeats(); },
+            [this](const allotment_member& member) { return is_gone(member); }};
+}
+
 void entry_vm::state::take_record(const record& changed) {
     fleet.take(changed);
     if (service_table) {
@@ -190,6 +205,17 @@
     return result;
 }
 
+std::uint64_t entry_vm::state::complete_revision() const {
+    return watcher && watcher->is_loaded() ? watched_revision.load() : 0;
+}
+
+bool entry_vm::state::has_fresh_pools() const {
+    // The watcher hands out changes in the order of their revisions, so with the allotment it has handed out
+    // all pool records that are older.
+    const auto held = records.find(allotment_key(configured.entry.zone));
+    return held && fleet.own_allotment().contains(self) && complete_revision() >= held->revision;
+}
+
 heartbeat entry_vm::state::own_heartbeat() {
     heartbeat beat;
     beat.entry = configured.entry.id;
@@ -198,7 +224,7 @@
     beat.zone = configured.entry.zone;
     beat.address = to_string(configured.listen.peer);
     beat.configuration_revision = static_cast<std::uint64_t>(fleet.configuration_revision());
-    beat.record_revision = complete_revision;
+    beat.record_revision = complete_revision();
     beat.store_reachable = watcher && watcher->is_store_reachable();
     beat.stopping = stopping;
     const settlement settled = ledger.announcement();
@@ -294,15 +320,14 @@
 
 void entry_vm::state::start_agents() {
     // Before the agents whose threads use them.
-    service_table = std::make_unique<service_table_agent>(configured, fleet, directory, ledger, router);
     watcher = std::make_unique<store_watcher>(
         store, retries, watcher_random, "", [this](const store_change& change) {
             const auto revision = static_cast<std::uint64_t>(change.entry.revision);
             records.offer({change.entry.key, change.removed ? std::string() : change.entry.value, revision});
-            if (watcher->is_loaded() && revision > complete_revision) {
-                complete_revision = revision;
-            }
+            watched_revision = std::max<std::uint64_t>(watched_revision, revision);
         });
+    service_table = std::make_unique<service_table_agent>(configured, fleet, directory, ledger, router,
+                                                          [this] { return has_fresh_pools(); });
     membership_events events;
     events.own_heartbeat = [this] { return own_heartbeat(); };
     events.received = [this](const heartbeat& beat) { receive(beat); };
@@ -335,6 +360,14 @@
     maintenance =
         std::make_unique<maintenance_agent>(self, store, control, records, fleet, observer, metrics,
                                             [this](const pool_name& pool) { return is_own_pool(pool); });
+    placement = std::make_unique<placement_agent>(
+        fleet, *maintenance, time_source, metrics,
+        placement_agent::sources{
+            [this] { return all_heartbeats(); }, [this] { return placement_observer.vms(); },
+            [this] {
+                return rendezvous_owner(placement_key, membership->candidates(zone_name())) ==
+                       configured.entry.id;
+            }});
     changes = std::make_unique<configuration_agent>(self, store, retries, time_source, records, fleet);
     operator_calls = std::make_unique<entry_fleet_service>(
         entry_fleet_service::parts{configured, self, time_source, fleet, *changes, *maintenance, *membership,
@@ -346,6 +379,7 @@
 void entry_vm::state::stop_agents() {
     housekeeper.reset();
     ticker.reset();
+    placement.reset();
     maintenance.reset();
     probes.reset();
     allotment.reset();
--- a/source/decision/placement/move_round.cpp
+++ b/source/decision/placement/move_round.cpp
@@ -137,6 +137,11 @@
     if (&donor == &receiver || !quotas_.permits_move(source.team, target.team)) {
         return false;
     }
+    // Checked here as well as per VM, since a fleet in trouble has many donors that can give nothing.
+    if (donor.settled_size <= source.minimum_vms ||
+        donor.unavailable.total() >= source.budget.max_unavailable) {
+        return false;
+    }
     const auto index = best_vm(donor, receiver, cause, condition);
     if (index == source.vms.size()) {
         return false;
@@ -177,6 +182,10 @@
 }
 
 bool move_round::take_from_best_off(participant& receiver) {
+    // Room for a loss that has not occurred is no reason to take capacity that another pool uses.
+    if (!misses_demand(receiver.pool->input, policy_, receiver.capacity)) {
+        return false;
+    }
     if (!all_entered_) {
         all_entered_ = true;
         absl::flat_hash_set<const planned_pool*> entered;
