--- a/measure/wave_measure.cpp
+++ b/measure/wave_measure.cpp
@@ -24,7 +24,7 @@
     int pools = 0;
     int vms = 0;
     int zones = 0;
-    pool_budget budget;
+    availability_budget budget;
 };
 
 // Seconds: the time from a reservation to the acknowledgement of every entry VM, and the time of a reboot.
--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -19,14 +19,7 @@
 constexpr absl::Duration round_interval = absl::Milliseconds(250);
 
 pool_limits to_limits(const pool_section& section) {
-    pool_limits limits;
-    limits.budget.max_unavailable = section.budget.max_unavailable;
-    limits.budget.max_unavailable_per_zone = section.budget.max_unavailable_per_zone;
-    limits.budget.max_unavailable_per_rack = section.budget.max_unavailable_per_rack;
-    limits.budget.max_zones_unavailable = section.budget.max_zones_unavailable;
-    limits.budget.max_racks_unavailable = section.budget.max_racks_unavailable;
-    limits.minimum_vms = section.minimum_vms;
-    return limits;
+    return {.budget = section.budget, .minimum_vms = section.minimum_vms};
 }
 
 wave_state to_state(declared_wave_state state) {
--- a/source/agent/placement_agent.cpp
+++ b/source/agent/placement_agent.cpp
@@ -26,11 +26,6 @@
     }
 }
 
-placement_budget to_budget(const budget_section& section) {
-    return {section.max_unavailable, section.max_unavailable_per_zone, section.max_unavailable_per_rack,
-            section.max_zones_unavailable, section.max_racks_unavailable};
-}
-
 std::vector<team_quota> quotas_of(const fleet_configuration& configuration) {
     std::vector<team_quota> result;
     for (const auto& [team, section] : configuration.teams) {
@@ -105,7 +100,7 @@
     pool.spare = section.spare;
     pool.survive_rack = section.survive_rack;
     pool.survive_zone = section.survive_zone;
-    pool.budget = to_budget(section.budget);
+    pool.budget = section.budget;
     const unavailable_vms observed = observed_unavailable(stored.record, vms);
     for (const auto& [id, vm] : stored.record.vms) {
         pool.vms.push_back({id, vm.zone, vm.rack, state_of(id, vm, observed), true});
--- a/source/decision/configuration/fleet_configuration.h
+++ b/source/decision/configuration/fleet_configuration.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <vector>
 
+#include "common/availability_budget.h"
 #include "common/identifier.h"
 #include "decision/configuration/section_key.h"
 
@@ -19,25 +20,13 @@
     friend bool operator==(const team_section&, const team_section&) = default;
 };
 
-// How much of a pool may be unavailable at the same time. An absent limit does not restrict.
-struct budget_section {
-    int max_unavailable = 0;
-    std::optional<int> max_unavailable_per_zone = std::nullopt;
-    std::optional<int> max_unavailable_per_rack = std::nullopt;
-    // Zones or racks that may have unavailable VMs at the same time.
-    std::optional<int> max_zones_unavailable = std::nullopt;
-    std::optional<int> max_racks_unavailable = std::nullopt;
-
-    friend bool operator==(const budget_section&, const budget_section&) = default;
-};
-
 // `pool/<name>`.
 struct pool_section {
     team_name team;
     std::vector<zone_name> zones;
     int minimum_vms = 0;
     bool spare = false;
-    budget_section budget;
+    availability_budget budget;
     // VMs of the pool when its record is created. Later additions and moves appear only in the record.
     std::vector<vm_id> vms;
     // The buffer covers the loss of a rack or of a zone.
--- a/source/decision/configuration/pool_rules.cpp
+++ b/source/decision/configuration/pool_rules.cpp
@@ -25,7 +25,8 @@
     }
 }
 
-void check_budget(const std::string& path, const budget_section& budget, configuration_problems& problems) {
+void check_budget(const std::string& path, const availability_budget& budget,
+                  configuration_problems& problems) {
     check_range(path + ".max_unavailable", budget.max_unavailable, 1, most_pool_vms, problems);
     const auto check_limit = [&](const char* name, const std::optional<int>& limit) {
         if (limit) {
--- a/source/decision/configuration/section_json.cpp
+++ b/source/decision/configuration/section_json.cpp
@@ -17,14 +17,14 @@
 
 struct budget_member {
     const char* name;
-    std::optional<int> budget_section::*limit;
+    std::optional<int> availability_budget::*limit;
 };
 
 constexpr std::array<budget_member, 4> budget_members = {{
-    {"max_unavailable_per_zone", &budget_section::max_unavailable_per_zone},
-    {"max_unavailable_per_rack", &budget_section::max_unavailable_per_rack},
-    {"max_zones_unavailable", &budget_section::max_zones_unavailable},
-    {"max_racks_unavailable", &budget_section::max_racks_unavailable},
+    {"max_unavailable_per_zone", &availability_budget::max_unavailable_per_zone},
+    {"max_unavailable_per_rack", &availability_budget::max_unavailable_per_rack},
+    {"max_zones_unavailable", &availability_budget::max_zones_unavailable},
+    {"max_racks_unavailable", &availability_budget::max_racks_unavailable},
 }};
 
 template <typename T>
@@ -40,7 +40,7 @@
     return object;
 }
 
-Json::Value to_json(const budget_section& budget) {
+Json::Value to_json(const availability_budget& budget) {
     Json::Value object(Json::objectValue);
     object["max_unavailable"] = budget.max_unavailable;
     for (const budget_member& member : budget_members) {
@@ -105,8 +105,8 @@
     return team;
 }
 
-budget_section read_budget(json_object_reader reader) {
-    budget_section budget;
+availability_budget read_budget(json_object_reader reader) {
+    availability_budget budget;
     require_all(reader, {"max_unavailable"});
     assign_if(budget.max_unavailable, reader.integer("max_unavailable"));
     for (const budget_member& member : budget_members) {
--- a/source/decision/maintenance/budget_check.cpp
+++ b/source/decision/maintenance/budget_check.cpp
@@ -52,7 +52,7 @@
     return count_in(racks_, rack);
 }
 
-std::optional<std::string> unavailability::exceeded(const pool_budget& budget) const {
+std::optional<std::string> unavailability::exceeded(const availability_budget& budget) const {
     if (total_ > budget.max_unavailable) {
         return absl::StrCat("max_unavailable ", budget.max_unavailable, " exceeded by ", total_);
     }
@@ -71,7 +71,7 @@
     return std::nullopt;
 }
 
-bool unavailability::has_room_for(const pool_vm& vm, const pool_budget& budget) const {
+bool unavailability::has_room_for(const pool_vm& vm, const availability_budget& budget) const {
     const int zone_count = in_zone(vm.zone);
     const int rack_count = in_rack(vm.rack);
     const int open_zones = static_cast<int>(zones_.size()) + (zone_count == 0 ? 1 : 0);
@@ -84,7 +84,7 @@
 }
 
 tl::expected<void, std::string> check_satisfiable(const pool_limits& limits, std::optional<int> vm_count) {
-    const pool_budget& budget = limits.budget;
+    const availability_budget& budget = limits.budget;
     const auto below_one = [](const char* name, std::optional<int> limit) -> std::optional<std::string> {
         if (limit.has_value() && *limit < 1) {
             return absl::StrCat(name, " ", *limit, " lets no VM be maintained");
--- a/source/decision/maintenance/budget_check.h
+++ b/source/decision/maintenance/budget_check.h
@@ -8,23 +8,14 @@
 
 #include <tl/expected.hpp>
 
+#include "common/availability_budget.h"
 #include "decision/maintenance/pool_record.h"
 
 namespace masticpass {
 
-// How much of a pool may be unavailable at the same time. An absent limit does not restrict.
-struct pool_budget {
-    int max_unavailable = 1;
-    std::optional<int> max_unavailable_per_zone = std::nullopt;
-    std::optional<int> max_unavailable_per_rack = std::nullopt;
-    // Zones or racks that may have unavailable VMs at the same time.
-    std::optional<int> max_zones_unavailable = std::nullopt;
-    std::optional<int> max_racks_unavailable = std::nullopt;
-};
-
 // What the maintenance decisions need of a pool's declared configuration.
 struct pool_limits {
-    pool_budget budget;
+    availability_budget budget;
     int minimum_vms = 0;
 };
 
@@ -46,10 +37,10 @@
     int in_rack(const rack_name& rack) const;
 
     // The limit that the counts exceed, in words; nullopt if the budget holds.
-    std::optional<std::string> exceeded(const pool_budget& budget) const;
+    std::optional<std::string> exceeded(const availability_budget& budget) const;
 
     // True if the budget still holds after add(vm).
-    bool has_room_for(const pool_vm& vm, const pool_budget& budget) const;
+    bool has_room_for(const pool_vm& vm, const availability_budget& budget) const;
 
 private:
     int total_ = 0;
--- a/source/decision/maintenance/wave_planner.cpp
+++ b/source/decision/maintenance/wave_planner.cpp
@@ -83,7 +83,7 @@
                 vm.maintained_at};
     }
 
-    const pool_budget& budget_;
+    const availability_budget& budget_;
     unavailability counts_;
     std::vector<candidate> candidates_;
     std::map<zone_name, int> zone_pending_;
@@ -142,7 +142,7 @@
            now - vm.since > never_returned_after;
 }
 
-std::optional<int> lower_bound_rounds(const pool_record& record, const pool_budget& budget) {
+std::optional<int> lower_bound_rounds(const pool_record& record, const availability_budget& budget) {
     if (!check_satisfiable({budget, 0}, std::nullopt)) {
         return std::nullopt;
     }
--- a/source/decision/maintenance/wave_planner.h
+++ b/source/decision/maintenance/wave_planner.h
@@ -50,7 +50,7 @@
 
 // The number of rounds that the budget forces on a pool with these VMs, each round taking the time of one VM.
 // nullopt if the budget admits no VM.
-std::optional<int> lower_bound_rounds(const pool_record& record, const pool_budget& budget);
+std::optional<int> lower_bound_rounds(const pool_record& record, const availability_budget& budget);
 
 }  // namespace masticpass
 
--- a/source/decision/placement/placement_input.h
+++ b/source/decision/placement/placement_input.h
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include "common/availability_budget.h"
 #include "common/identifier.h"
 
 namespace masticpass {
@@ -34,17 +35,6 @@
     friend bool operator==(const placement_vm&, const placement_vm&) = default;
 };
 
-// The availability budget of a pool, as the design page defines it. An absent limit does not bind.
-struct placement_budget {
-    int max_unavailable = 1;
-    std::optional<int> max_unavailable_per_zone = std::nullopt;
-    std::optional<int> max_unavailable_per_rack = std::nullopt;
-    std::optional<int> max_zones_unavailable = std::nullopt;
-    std::optional<int> max_racks_unavailable = std::nullopt;
-
-    friend bool operator==(const placement_budget&, const placement_budget&) = default;
-};
-
 // Everything that placement knows about a pool.
 struct placement_pool {
     pool_name pool;
@@ -59,7 +49,7 @@
     int buffer_vms = 0;
     bool survive_rack = false;
     bool survive_zone = false;
-    placement_budget budget = {};
+    availability_budget budget = {};
     // Sum of the sustained demand of the pool's services, from `demand_tracker`. The caller keeps the
     // previous figure while an estimate is not reliable.
     double sustained_slots = 0;
--- a/source/decision/placement/pool_spread.cpp
+++ b/source/decision/placement/pool_spread.cpp
@@ -87,7 +87,7 @@
     }));
 }
 
-bool budget_permits(const placement_budget& budget, const domain_counts& unavailable,
+bool budget_permits(const availability_budget& budget, const domain_counts& unavailable,
                     const placement_vm& vm) {
     const int in_zone = unavailable.in_zone(vm.zone);
     const int in_rack = unavailable.in_rack(vm.zone, vm.rack);
--- a/source/decision/placement/pool_spread.h
+++ b/source/decision/placement/pool_spread.h
@@ -47,7 +47,8 @@
 int settled_size(const placement_pool& pool);
 
 // True if the budget permits that `vm` becomes unavailable in addition to `unavailable`.
-bool budget_permits(const placement_budget& budget, const domain_counts& unavailable, const placement_vm& vm);
+bool budget_permits(const availability_budget& budget, const domain_counts& unavailable,
+                    const placement_vm& vm);
 
 }  // namespace masticpass
 
--- a/tests/decision/configuration/sample.h
+++ b/tests/decision/configuration/sample.h
@@ -10,7 +10,7 @@
 
 // A valid configuration of two teams, three pools (one spare), two services and one wave.
 inline fleet_configuration small_configuration() {
-    const budget_section budget{.max_unavailable = 2, .max_unavailable_per_zone = 1};
+    const availability_budget budget{.max_unavailable = 2, .max_unavailable_per_zone = 1};
     fleet_configuration configuration;
     configuration.teams[team_name("dye")] = {.quota_vms = 20};
     configuration.teams[team_name("loom")] = {.quota_vms = 20};
--- a/tests/decision/maintenance/budget_check_test.cpp
+++ b/tests/decision/maintenance/budget_check_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-bool has_room(const pool_budget& budget, const unavailable_vms& observed, const std::string& vm) {
+bool has_room(const availability_budget& budget, const unavailable_vms& observed, const std::string& vm) {
     const pool_record record = make_pool("a", 12, 3, 2);
     return unavailability(record, observed, 0).has_room_for(record.vms.at(vm_id(vm)), budget);
 }
--- a/tests/decision/maintenance/fleet_schedule.cpp
+++ b/tests/decision/maintenance/fleet_schedule.cpp
@@ -493,7 +493,7 @@
 
 void fleet_schedule::check_counts(const pool_record& record, const std::set<vm_id>& unavailable, int missing,
                                   const std::string& event) {
-    const pool_budget& budget = limits_.at(record.pool).budget;
+    const availability_budget& budget = limits_.at(record.pool).budget;
     std::map<zone_name, int> zones;
     std::map<rack_name, int> racks;
     for (const vm_id& id : unavailable) {
--- a/tests/decision/maintenance/wave_planner_test.cpp
+++ b/tests/decision/maintenance/wave_planner_test.cpp
@@ -18,7 +18,7 @@
 }
 
 // Runs a wave in rounds in which every planned VM comes back; returns the number of rounds.
-int rounds_of(pool_record record, const pool_budget& budget) {
+int rounds_of(pool_record record, const availability_budget& budget) {
     record = start_wave(record, w, test_now);
     const std::vector<declared_wave> waves = {wave_of(wave_state::running)};
     for (int round = 0; round < 1000; ++round) {
@@ -38,13 +38,14 @@
 // Guards against waves that are longer than the budgets force them to be.
 TEST_CASE("a wave takes as many rounds as the budget forces") {
     const pool_record record = make_pool("a", 24, 3, 4);
-    for (const pool_budget& budget :
-         {pool_budget{.max_unavailable = 1}, pool_budget{.max_unavailable = 5},
-          pool_budget{.max_unavailable = 9, .max_unavailable_per_zone = 3},
-          pool_budget{.max_unavailable = 9, .max_unavailable_per_rack = 2},
-          pool_budget{.max_unavailable = 9, .max_zones_unavailable = 1},
-          pool_budget{.max_unavailable = 9, .max_racks_unavailable = 1},
-          pool_budget{.max_unavailable = 8, .max_zones_unavailable = 2, .max_racks_unavailable = 2}}) {
+    for (const availability_budget& budget :
+         {availability_budget{.max_unavailable = 1}, availability_budget{.max_unavailable = 5},
+          availability_budget{.max_unavailable = 9, .max_unavailable_per_zone = 3},
+          availability_budget{.max_unavailable = 9, .max_unavailable_per_rack = 2},
+          availability_budget{.max_unavailable = 9, .max_zones_unavailable = 1},
+          availability_budget{.max_unavailable = 9, .max_racks_unavailable = 1},
+          availability_budget{
+              .max_unavailable = 8, .max_zones_unavailable = 2, .max_racks_unavailable = 2}}) {
         CHECK(rounds_of(record, budget) == lower_bound_rounds(record, budget));
     }
 }
