Hand the request identities of a stopping entry VM to another one

Identities that a planned stop left unused, or whose request was in progress, could never run again, and callers were told that they may have run. The stopping entry VM now gives their state to one other entry VM, of its own zone if there is one, and begins nothing afterwards. After a lost answer no third entry VM gets them.

--- a/source/agent/membership_agent.cpp
+++ b/source/agent/membership_agent.cpp
@@ -206,6 +206,14 @@
     return own;
 }
 
+bool membership_agent::take_over_identities(const std::vector<once_transfer>& transfers) {
+    const bool taken = events_.take_over_identities && events_.take_over_identities(transfers);
+    if (taken) {
+        exchange_now();
+    }
+    return taken;
+}
+
 std::vector<record> membership_agent::records_after(std::uint64_t revision) {
     return records_.after(revision);
 }
--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -59,8 +59,8 @@
 constexpr absl::Duration stop_wait = absl::Minutes(10);
 constexpr absl::Duration leave_time_limit = absl::Seconds(3);
 constexpr absl::Duration process_check_time_limit = absl::Milliseconds(200);
-// The allocator's default of 8 arenas per processor keeps freed memory in each of them. With some hundred threads
-// that read a VM list or a configuration now and then, this took a third of the resident memory.
+// The allocator's default of 8 arenas per processor keeps freed memory in each of them. With some hundred
+// threads that read a VM list or a configuration now and then, this took a third of the resident memory.
 constexpr int allocation_arenas = 2;
 
 platform_limits to_platform_limits(const settings& configured) {
@@ -131,6 +131,7 @@
     bool is_own_pool(const pool_name& pool) const;
     bool is_own_probe(const vm_id& vm) const;
     void housekeep();
+    void hand_over_identities();
     health_state health() const;
     std::vector<server_observation> observations() const;
 
@@ -239,6 +240,7 @@
                                  static_cast<double>(load.load.running + load.load.queued)});
     }
     beat.observations = observations();
+    beat.taken_over = router.identities().taken_over();
     if (service_table) {
         beat.drained = service_table->drained();
     }
@@ -312,6 +314,25 @@
     }
 }
 
+void entry_vm::state::hand_over_identities() {
+    const std::vector<once_transfer> transfers = router.identities().hand_over();
+    auto candidates = membership->alive(configured.entry.zone);
+    if (candidates.empty()) {
+        candidates = membership->alive(zone_name());
+    }
+    for (const auto& candidate : candidates) {
+        const auto taken = peers.hand_over_identities(candidate.observation.address, transfers);
+        // A peer that gave no answer may have them, so no other one may get them.
+        const bool may_hold = taken ? *taken : taken.error() == peer_error::no_answer;
+        log_event(
+            log_severity::info, "identities_handed_over",
+            {{"entry", candidate.observation.entry.value()}, {"taken", taken && *taken ? "yes" : "no"}});
+        if (may_hold) {
+            return;
+        }
+    }
+}
+
 health_state entry_vm::state::health() const {
     if (stopping) {
         return {false, "stopping"};
@@ -335,6 +356,9 @@
     membership_events events;
     events.own_heartbeat = [this] { return own_heartbeat(); };
     events.received = [this](const heartbeat& beat) { receive(beat); };
+    events.take_over_identities = [this](const std::vector<once_transfer>& transfers) {
+        return router.identities().take_over(transfers);
+    };
     events.gone = [this](const incarnation_id& gone) { ledger.proved_gone(gone); };
     membership = std::make_unique<membership_agent>(configured, self, peers, records, time_source, metrics,
                                                     std::move(events));
@@ -444,6 +468,7 @@
     while (parts.router.open_requests() > 0 && absl::Now() < end) {
         absl::SleepFor(tick_interval);
     }
+    parts.hand_over_identities();
     parts.operator_calls->stop();
     parts.callers->stop();
     parts.allotment->leave(leave_time_limit);
--- a/source/decision/serving/once_registry.cpp
+++ b/source/decision/serving/once_registry.cpp
@@ -90,6 +90,42 @@
     return {};
 }
 
+once_transfer once_registry::hand_over(absl::Time now) {
+    expire(now);
+    once_transfer transfer{.issuer = self_, .next = next_, .parts = {}};
+    for (const block& each : blocks_) {
+        transfer.parts.push_back(
+            {.first = each.first, .count = each.count, .age = now - each.last_issued, .states = each.states});
+    }
+    return transfer;
+}
+
+tl::expected<once_registry, std::string> once_registry::take_over(const once_transfer& transfer,
+                                                                  const once_options& options,
+                                                                  absl::Time now) {
+    once_registry result(transfer.issuer, options);
+    std::uint64_t expected = transfer.parts.empty() ? transfer.next : transfer.parts.front().first;
+    for (const once_transfer::part& each : transfer.parts) {
+        const bool fits = each.first == expected && each.count > 0 && each.age >= absl::ZeroDuration() &&
+                          each.states.size() == (each.count + states_per_byte - 1) / states_per_byte;
+        if (!fits) {
+            return tl::make_unexpected(std::string("the parts of the transfer do not fit together"));
+        }
+        const absl::Time issued = now - each.age;
+        result.blocks_.push_back({.first = each.first,
+                                  .count = each.count,
+                                  .opened = issued,
+                                  .last_issued = issued,
+                                  .states = each.states});
+        expected += each.count;
+    }
+    if (expected != transfer.next || transfer.issuer.empty()) {
+        return tl::make_unexpected(std::string("the transfer ends at another identity than it states"));
+    }
+    result.next_ = transfer.next;
+    return result;
+}
+
 void once_registry::expire(absl::Time now) {
     bool dropped = false;
     while (!blocks_.empty() && blocks_.front().last_issued + options_.lifetime <= now) {
--- a/source/decision/serving/once_registry.h
+++ b/source/decision/serving/once_registry.h
@@ -49,6 +49,22 @@
 
 enum class once_error { not_in_progress, unknown, expired, other_issuer };
 
+// The state of an incarnation's identities, as it passes to another entry VM. Times are ages, since monotonic
+// clocks of two machines cannot be compared.
+struct once_transfer {
+    struct part {
+        std::uint64_t first = 0;
+        std::uint64_t count = 0;
+        absl::Duration age;
+        // Two bits per identity.
+        std::vector<std::uint8_t> states;
+    };
+
+    incarnation_id issuer;
+    std::uint64_t next = 1;
+    std::vector<part> parts;
+};
+
 // Issues request identities and lets each one run at most once. Keeps two bits per identity until the
 // identity expires, and finished responses within a bound in bytes. Thread safety: none; the caller holds a
 // lock. `now` must not go back.
@@ -71,6 +87,15 @@
     // Records that the only attempt did not run, so that the identity may be used again.
     [[nodiscard]] tl::expected<void, once_error> revert(const once_identity& identity, absl::Time now);
 
+    // The state for another entry VM, without the held responses. The caller makes sure that this registry
+    // begins nothing afterwards; an identity in progress stays so, and may have run.
+    once_transfer hand_over(absl::Time now);
+
+    // The registry that goes on with the identities of a transfer. It issues none. The error says why the
+    // transfer cannot be valid.
+    static tl::expected<once_registry, std::string> take_over(const once_transfer& transfer,
+                                                              const once_options& options, absl::Time now);
+
     // Forgets expired identities and their responses. The other methods do this as well.
     void expire(absl::Time now);
 
--- a/source/peer/heartbeat.cpp
+++ b/source/peer/heartbeat.cpp
@@ -103,6 +103,10 @@
         element["demand"] = load.demand_slots;
         value["services"].append(element);
     }
+    value["taken_over"] = Json::arrayValue;
+    for (const incarnation_id& incarnation : beat.taken_over) {
+        value["taken_over"].append(incarnation.value());
+    }
     value["observations"] = Json::arrayValue;
     for (const server_observation& observation : beat.observations) {
         Json::Value element;
@@ -165,6 +169,13 @@
         beat.unsettled.emplace_back(element.asString());
         return true;
     });
+    reader.elements("taken_over", [&beat](const Json::Value& element) {
+        if (!element.isString()) {
+            return false;
+        }
+        beat.taken_over.emplace_back(element.asString());
+        return true;
+    });
     reader.elements("services", [&beat](const Json::Value& element) { return read_service(element, beat); });
     reader.elements("observations",
                     [&beat](const Json::Value& element) { return read_observation(element, beat); });
--- a/source/peer/heartbeat.h
+++ b/source/peer/heartbeat.h
@@ -64,6 +64,8 @@
     std::uint64_t loads_received = 0;
     std::vector<server_observation> observations;
     std::vector<drain_acknowledgement> drained;
+    // Incarnations whose request identities it took over when they stopped.
+    std::vector<incarnation_id> taken_over;
 };
 
 Json::Value to_json(const heartbeat& beat);
--- a/source/peer/http_peer_client.cpp
+++ b/source/peer/http_peer_client.cpp
@@ -123,6 +123,17 @@
     return {};
 }
 
+tl::expected<bool, peer_error> http_peer_client::hand_over_identities(
+    const std::string& address, const std::vector<once_transfer>& transfers) {
+    Json::Value parameters;
+    parameters["transfers"] = to_json(transfers);
+    const auto result = call(address, "take_over_identities", parameters);
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    return result->isBool() && result->asBool();
+}
+
 request_result http_peer_client::forward(const std::string& address, const service_request& request) {
     const absl::Time now = clock_.now();
     exchange_request message =
--- /dev/null
+++ b/source/peer/identity_transfer.h
@@ -0,0 +1,21 @@
+#ifndef MASTICPASS_PEER_IDENTITY_TRANSFER_H
+#define MASTICPASS_PEER_IDENTITY_TRANSFER_H
+
+#include <optional>
+#include <vector>
+
+#include <json/json.h>
+
+#include "decision/serving/once_registry.h"
+
+namespace masticpass {
+
+// The states are written in base64, ages in milliseconds.
+Json::Value to_json(const std::vector<once_transfer>& transfers);
+
+// nullopt if a member is missing or has another form.
+std::optional<std::vector<once_transfer>> parse_transfers(const Json::Value& value);
+
+}  // namespace masticpass
+
+#endif
--- a/source/peer/peer_client.h
+++ b/source/peer/peer_client.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "peer/heartbeat.h"
+#include "peer/identity_transfer.h"
 #include "peer/record.h"
 #include "routing/service_request.h"
 
@@ -42,6 +43,11 @@
     virtual tl::expected<void, peer_error> push_records(const std::string& address,
                                                         const std::vector<record>& records) = 0;
 
+    // Hands the state of request identities to the peer, which alone may run them from then on. False if it
+    // refused. After `no_answer` the peer may have them.
+    virtual tl::expected<bool, peer_error> hand_over_identities(
+        const std::string& address, const std::vector<once_transfer>& transfers) = 0;
+
     // Lets the peer run a request. A peer that was not reached gives `peer_unreachable` as not run; a lost
     // answer gives "may have run".
     virtual request_result forward(const std::string& address, const service_request& request) = 0;
--- a/source/peer/peer_server.cpp
+++ b/source/peer/peer_server.cpp
@@ -41,6 +41,14 @@
         return true;
     }
 
+    bool take_over_identities(const Json::Value& transfers) override {
+        const auto parsed = parse_transfers(transfers);
+        if (!parsed) {
+            throw invalid_parameters("transfers is not a list of transfers");
+        }
+        return peers_.take_over_identities(*parsed);
+    }
+
 private:
     static jsonrpc::JsonRpcException invalid_parameters(const char* message) {
         return {jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, message};
--- a/source/peer/peer_server.h
+++ b/source/peer/peer_server.h
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "http/server.h"
 #include "peer/heartbeat.h"
+#include "peer/identity_transfer.h"
 #include "peer/record.h"
 #include "routing/service_request.h"
 #include "settings/settings.h"
@@ -37,6 +38,9 @@
 
     // Takes records that a peer hands over; older ones than those held are ignored.
     virtual void receive_records(const std::vector<record>& records) = 0;
+
+    // Goes on with the request identities of an entry VM that stops; false if it refuses.
+    virtual bool take_over_identities(const std::vector<once_transfer>& transfers) = 0;
 };
 
 // The server for other entry VMs: JSON-RPC as described by schema/peer.json, and forwarded requests.
--- a/source/routing/forwarding.cpp
+++ b/source/routing/forwarding.cpp
@@ -1,5 +1,7 @@
 #include "routing/forwarding.h"
 
+#include <algorithm>
+
 namespace masticpass {
 
 forwarding::forwarding(const entry_settings& own, const distance_settings& distances)
@@ -18,6 +20,7 @@
     peer.incarnation = beat.incarnation;
     peer.target = {beat.entry, beat.address, distance_to(beat)};
     peer.stopping = beat.stopping;
+    peer.taken_over = beat.taken_over;
     peer.free_slots.clear();
     for (const service_load& load : beat.services) {
         // A peer that queues has no slot to give, even if one is free at the moment.
@@ -68,12 +71,16 @@
 
 std::optional<forward_target> forwarding::find(const incarnation_id& incarnation) const {
     const absl::MutexLock lock(&mutex_);
+    const peer_state* issuer = nullptr;
     for (const auto& [entry, peer] : peers_) {
-        if (peer.incarnation == incarnation) {
+        if (std::find(peer.taken_over.begin(), peer.taken_over.end(), incarnation) != peer.taken_over.end()) {
             return peer.target;
         }
+        if (peer.incarnation == incarnation) {
+            issuer = &peer;
+        }
     }
-    return std::nullopt;
+    return issuer == nullptr ? std::nullopt : std::optional(issuer->target);
 }
 
 }  // namespace masticpass
--- a/source/routing/forwarding.h
+++ b/source/routing/forwarding.h
@@ -43,7 +43,8 @@
     // All known peers.
     std::vector<forward_target> all() const;
 
-    // The address of the entry VM with this incarnation; nullopt if it is not known.
+    // The entry VM with this incarnation, or the one that took over its identities; nullopt if neither is
+    // known.
     std::optional<forward_target> find(const incarnation_id& incarnation) const;
 
 private:
@@ -51,6 +52,7 @@
         incarnation_id incarnation;
         forward_target target;
         bool stopping = false;
+        std::vector<incarnation_id> taken_over;
         std::map<service_name, int> free_slots;
     };
 
--- /dev/null
+++ b/source/routing/identity_ledger.cpp
@@ -0,0 +1,130 @@
+#include "routing/identity_ledger.h"
+
+#include <iterator>
+#include <utility>
+
+#include "common/invariant.h"
+
+namespace masticpass {
+
+namespace {
+
+// Each holds at most the identities of one lifetime, so this bounds the memory and the size of heartbeats.
+constexpr std::size_t largest_taken_over = 32;
+
+once_response to_response(const request_result& result) {
+    once_response response;
+    response.outcome = result ? verdict::ran : result.error().outcome;
+    if (result) {
+        response.status = result->status;
+        response.content_type = result->content_type;
+        response.body = result->body;
+    }
+    return response;
+}
+
+}  // namespace
+
+identity_ledger::identity_ledger(const incarnation_id& self, const once_options& options,
+                                 const clock& time_source)
+    : self_(self), options_(options), clock_(time_source), own_(self, options) {}
+
+tl::expected<std::vector<request_id>, refusal> identity_ledger::issue(std::size_t count) {
+    const absl::MutexLock lock(&mutex_);
+    if (handed_over_) {
+        return tl::unexpected(
+            refusal{verdict::not_run, refusal_reason::stopping, "this entry VM is stopping"});
+    }
+    auto first = own_.issue(count, clock_.now());
+    if (!first) {
+        return tl::unexpected(std::move(first.error()));
+    }
+    std::vector<request_id> identities;
+    identities.reserve(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        identities.emplace_back(once_identity{first->issuer, first->sequence + index}.to_string());
+    }
+    return identities;
+}
+
+once_registry* identity_ledger::registry_of(const incarnation_id& issuer) {
+    if (issuer == self_) {
+        return &own_;
+    }
+    const auto found = taken_over_.find(issuer);
+    return found == taken_over_.end() ? nullptr : &found->second;
+}
+
+once_begin identity_ledger::begin(const once_identity& identity) {
+    const absl::MutexLock lock(&mutex_);
+    once_registry* const registry = registry_of(identity.issuer);
+    if (registry == nullptr || handed_over_) {
+        return {.decision = once_decision::other_issuer};
+    }
+    return registry->begin(identity, clock_.now());
+}
+
+void identity_ledger::settle(const once_identity& identity, const request_result& result) {
+    const absl::MutexLock lock(&mutex_);
+    once_registry* const registry = registry_of(identity.issuer);
+    if (registry == nullptr) {
+        return;
+    }
+    const bool not_run = !result && result.error().outcome == verdict::not_run;
+    const auto settled = not_run ? registry->revert(identity, clock_.now())
+                                 : registry->finish(identity, to_response(result), clock_.now());
+    // The identity may expire while the request runs; its record is gone then, and nothing is left to settle.
+    check_invariant(settled || settled.error() != once_error::not_in_progress,
+                    "an identity is settled by the run that holds it");
+}
+
+std::vector<once_transfer> identity_ledger::hand_over() {
+    const absl::MutexLock lock(&mutex_);
+    handed_over_ = true;
+    const absl::Time now = clock_.now();
+    drop_expired(now);
+    std::vector<once_transfer> transfers = {own_.hand_over(now)};
+    for (auto& [issuer, registry] : taken_over_) {
+        transfers.push_back(registry.hand_over(now));
+    }
+    return transfers;
+}
+
+bool identity_ledger::take_over(const std::vector<once_transfer>& transfers) {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time now = clock_.now();
+    drop_expired(now);
+    if (handed_over_ || taken_over_.size() + transfers.size() > largest_taken_over) {
+        return false;
+    }
+    std::map<incarnation_id, once_registry> accepted;
+    for (const once_transfer& transfer : transfers) {
+        auto registry = once_registry::take_over(transfer, options_, now);
+        const bool is_held = registry_of(transfer.issuer) != nullptr || accepted.contains(transfer.issuer);
+        if (!registry || is_held) {
+            return false;
+        }
+        accepted.emplace(transfer.issuer, std::move(*registry));
+    }
+    taken_over_.merge(accepted);
+    return true;
+}
+
+void identity_ledger::drop_expired(absl::Time now) {
+    for (auto entry = taken_over_.begin(); entry != taken_over_.end();) {
+        entry->second.expire(now);
+        entry = entry->second.live_identities() == 0 ? taken_over_.erase(entry) : std::next(entry);
+    }
+}
+
+std::vector<incarnation_id> identity_ledger::taken_over() {
+    const absl::MutexLock lock(&mutex_);
+    drop_expired(clock_.now());
+    std::vector<incarnation_id> result;
+    for (const auto& [issuer, registry] : taken_over_) {
+        result.push_back(issuer);
+    }
+    return result;
+}
+
+}  // namespace masticpass
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -4,8 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "common/invariant.h"
-
 namespace masticpass {
 
 namespace {
@@ -61,7 +59,7 @@
 }  // namespace
 
 request_router::request_router(const router_parts& parts, const once_options& once)
-    : parts_(parts), once_(parts.self, once) {}
+    : parts_(parts), identities_(parts.self, once, parts.time_source) {}
 
 request_result request_router::handle(const service_request& request) {
     const open_request open(open_requests_);
@@ -103,8 +101,13 @@
     if (!identity) {
         return refuse(verdict::not_run, refusal_reason::identity_unknown, "not an identity that was issued");
     }
-    if (identity->issuer == parts_.self) {
-        return run_as_issuer(request, *identity);
+    const once_begin begun = identities_.begin(*identity);
+    // Asked before anything else may refuse: the request may have run when it was sent before.
+    if (begun.decision == once_decision::first_run) {
+        return run_first(request, *identity);
+    }
+    if (begun.decision != once_decision::other_issuer) {
+        return answer_begun(begun);
     }
     if (request.forwarded) {
         return refuse(verdict::may_have_run, refusal_reason::issuer_gone,
@@ -113,20 +116,11 @@
     return forward_to_issuer(request, *identity);
 }
 
-request_result request_router::run_as_issuer(const service_request& request, const once_identity& identity) {
-    once_begin begun;
-    {
-        const absl::MutexLock lock(&once_mutex_);
-        begun = once_.begin(identity, parts_.time_source.now());
-    }
-    // Asked before anything else may refuse: the request may have run when it was sent before.
-    if (begun.decision != once_decision::first_run) {
-        return answer_begun(begun);
-    }
+request_result request_router::run_first(const service_request& request, const once_identity& identity) {
     const auto service = admit(request.service);
     request_result result =
         service ? run_here(request, **service) : request_result(tl::unexpected(service.error()));
-    settle_identity(identity, result);
+    identities_.settle(identity, result);
     return result;
 }
 
@@ -151,28 +145,6 @@
     }
 }
 
-void request_router::settle_identity(const once_identity& identity, const request_result& result) {
-    const absl::MutexLock lock(&once_mutex_);
-    const absl::Time now = parts_.time_source.now();
-    // The identity may expire while the request runs; its record is gone then, and nothing is left to settle.
-    if (!result && result.error().outcome == verdict::not_run) {
-        const auto reverted = once_.revert(identity, now);
-        check_invariant(reverted || reverted.error() != once_error::not_in_progress,
-                        "an identity is settled by the run that holds it");
-        return;
-    }
-    once_response response;
-    response.outcome = result ? verdict::ran : result.error().outcome;
-    if (result) {
-        response.status = result->status;
-        response.content_type = result->content_type;
-        response.body = result->body;
-    }
-    const auto finished = once_.finish(identity, std::move(response), now);
-    check_invariant(finished || finished.error() != once_error::not_in_progress,
-                    "an identity is settled by the run that holds it");
-}
-
 request_result request_router::forward_to_issuer(const service_request& request,
                                                  const once_identity& identity) {
     const auto issuer = parts_.forwards.find(identity.issuer);
@@ -298,17 +270,7 @@
     if (stopping_) {
         return refuse(verdict::not_run, refusal_reason::stopping, "this entry VM is stopping");
     }
-    const absl::MutexLock lock(&once_mutex_);
-    auto first = once_.issue(count, parts_.time_source.now());
-    if (!first) {
-        return tl::unexpected(std::move(first.error()));
-    }
-    std::vector<request_id> identities;
-    identities.reserve(count);
-    for (std::size_t index = 0; index < count; ++index) {
-        identities.emplace_back(once_identity{first->issuer, first->sequence + index}.to_string());
-    }
-    return identities;
+    return identities_.issue(count);
 }
 
 verdict request_router::cancel(const request_id& id, bool forwarded) {
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -12,9 +12,9 @@
 
 #include "backend/backend_client.h"
 #include "common/clock.h"
-#include "decision/serving/once_registry.h"
 #include "peer/peer_client.h"
 #include "routing/forwarding.h"
+#include "routing/identity_ledger.h"
 #include "routing/server_directory.h"
 #include "routing/service_request.h"
 #include "routing/service_shard.h"
@@ -80,6 +80,9 @@
 
     std::vector<routed_load> loads() const;
 
+    // The identities that this entry VM may run.
+    identity_ledger& identities() { return identities_; }
+
 private:
     struct served {
         std::unique_ptr<service_shard> shard;
@@ -89,14 +92,13 @@
 
     request_result route_repeatable(const service_request& request);
     request_result route_once(const service_request& request);
-    request_result run_as_issuer(const service_request& request, const once_identity& identity);
+    request_result run_first(const service_request& request, const once_identity& identity);
     // The service if requests for it may start now.
     tl::expected<std::shared_ptr<served>, refusal> admit(const service_name& service) const;
     std::optional<verdict> cancel_here(const request_id& id);
     verdict cancel_at_peers(const request_id& id);
     request_result forward_to_issuer(const service_request& request, const once_identity& identity);
     request_result answer_begun(const once_begin& begun);
-    void settle_identity(const once_identity& identity, const request_result& result);
     request_result run_or_forward(const service_request& request, served& service);
     request_result run_here(const service_request& request, served& service);
     request_result run_attempts(const service_request& request, const request_description& description,
@@ -116,8 +118,7 @@
     std::shared_ptr<const service_table> services_ ABSL_GUARDED_BY(services_mutex_) =
         std::make_shared<const service_table>();
     bool configured_ ABSL_GUARDED_BY(services_mutex_) = false;
-    absl::Mutex once_mutex_;
-    once_registry once_ ABSL_GUARDED_BY(once_mutex_);
+    identity_ledger identities_;
 };
 
 }  // namespace masticpass
--- /dev/null
+++ b/tests/routing/identity_ledger_test.cpp
@@ -0,0 +1,104 @@
+#include "routing/identity_ledger.h"
+
+#include <doctest/doctest.h>
+
+#include "peer/identity_transfer.h"
+
+namespace masticpass {
+
+namespace {
+
+class fixed_clock final : public clock {
+public:
+    absl::Time now() const override { return time; }
+    absl::Time time = absl::UnixEpoch() + absl::Hours(1);
+};
+
+once_identity parse(const request_id& id) {
+    return *once_identity::parse(id.value());
+}
+
+const incarnation_id issuer("issuer");
+const incarnation_id heir("heir");
+
+}  // namespace
+
+// Guards against a second run after a planned stop, and against identities that die with a planned stop.
+TEST_CASE("identities that were handed over run at the new holder only and at most once") {
+    const fixed_clock time;
+    identity_ledger first(issuer, {}, time);
+    identity_ledger second(heir, {}, time);
+    const auto ids = *first.issue(3);
+    REQUIRE(first.begin(parse(ids[0])).decision == once_decision::first_run);
+    first.settle(parse(ids[0]), service_response{200, "text/plain", "done"});
+    REQUIRE(first.begin(parse(ids[1])).decision == once_decision::first_run);
+
+    const auto transfers = parse_transfers(to_json(first.hand_over()));
+    REQUIRE(transfers);
+    REQUIRE(second.take_over(*transfers));
+
+    for (const request_id& id : ids) {
+        CHECK(first.begin(parse(id)).decision == once_decision::other_issuer);
+    }
+    CHECK(second.begin(parse(ids[0])).decision == once_decision::finished);
+    CHECK(second.begin(parse(ids[1])).decision == once_decision::in_progress);
+    CHECK(second.begin(parse(ids[2])).decision == once_decision::first_run);
+    CHECK(second.begin(parse(ids[2])).decision == once_decision::in_progress);
+    CHECK(second.taken_over() == std::vector<incarnation_id>{issuer});
+    CHECK_FALSE(first.issue(1));
+}
+
+// Guards against a transfer that is repeated after runs began, which would make them unused again.
+TEST_CASE("a transfer that is already held or that arrives after the own hand-over is refused") {
+    const fixed_clock time;
+    identity_ledger first(issuer, {}, time);
+    identity_ledger second(heir, {}, time);
+    const auto id = first.issue(1)->front();
+    const auto transfers = first.hand_over();
+    REQUIRE(second.take_over(transfers));
+    REQUIRE(second.begin(parse(id)).decision == once_decision::first_run);
+    CHECK_FALSE(second.take_over(transfers));
+    CHECK(second.begin(parse(id)).decision == once_decision::in_progress);
+
+    identity_ledger third(incarnation_id("third"), {}, time);
+    const auto both = second.hand_over();
+    CHECK(both.size() == 2);
+    CHECK(third.take_over(both));
+    CHECK_FALSE(second.take_over(third.hand_over()));
+}
+
+// Guards against damaged transfers, which could mark identities as unused that have run.
+TEST_CASE("a transfer whose parts do not fit together is refused") {
+    const fixed_clock time;
+    identity_ledger first(issuer, {}, time);
+    identity_ledger second(heir, {}, time);
+    REQUIRE(first.issue(9));
+    auto transfers = first.hand_over();
+    SUBCASE("missing states") {
+        transfers[0].parts[0].states.pop_back();
+    }
+    SUBCASE("missing end") {
+        ++transfers[0].next;
+    }
+    SUBCASE("negative age") {
+        transfers[0].parts[0].age = absl::Seconds(-1);
+    }
+    CHECK_FALSE(second.take_over(transfers));
+    CHECK(second.taken_over().empty());
+}
+
+// Guards against identities that outlive their validity because a transfer restarted it.
+TEST_CASE("identities that were taken over expire at their age") {
+    fixed_clock time;
+    const once_options options{.lifetime = absl::Minutes(15)};
+    identity_ledger first(issuer, options, time);
+    identity_ledger second(heir, options, time);
+    const auto id = first.issue(1)->front();
+    time.time += absl::Minutes(10);
+    REQUIRE(second.take_over(first.hand_over()));
+    time.time += absl::Minutes(6);
+    CHECK(second.taken_over().empty());
+    CHECK(second.begin(parse(id)).decision == once_decision::other_issuer);
+}
+
+}  // namespace masticpass
