--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -38,14 +38,7 @@
 }
 
 pool_limits to_limits(const pool_section& section) {
-    pool_limits limits;
-    limits.budget.max_unavailable = section.budget.max_unavailable;
-    limits.budget.max_unavailable_per_zone = section.budget.max_unavailable_per_zone;
-    limits.budget.max_unavailable_per_rack = section.budget.max_unavailable_per_rack;
-    limits.budget.max_zones_unavailable = section.budget.max_zones_unavailable;
-    limits.budget.max_racks_unavailable = section.budget.max_racks_unavailable;
-    limits.minimum_vms = section.minimum_vms;
-    return limits;
+    return {.budget = section.budget, .minimum_vms = section.minimum_vms};
 }
 
 wave_state to_state(declared_wave_state state) {
--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -132,6 +132,7 @@
     bool is_own_pool(const pool_name& pool) const;
     std::set<vm_id> own_probes(const std::vector<server_state>& servers) const;
     void housekeep();
+    void hand_over_identities();
     health_state health() const;
     std::vector<server_observation> observations() const;
 
@@ -240,6 +241,7 @@
                                  static_cast<double>(load.load.running + load.load.queued)});
     }
     beat.observations = observations();
+    beat.taken_over = router.identities().taken_over();
     if (service_table) {
         beat.drained = service_table->drained();
     }
@@ -319,6 +321,25 @@
     }
 }
 
+void entry_vm::state::hand_over_identities() {
+    const std::vector<once_transfer> transfers = router.identities().hand_over();
+    auto candidates = membership->alive(configured.entry.zone);
+    if (candidates.empty()) {
+        candidates = membership->alive(zone_name());
+    }
+    for (const auto& candidate : candidates) {
+        const auto taken = peers.hand_over_identities(candidate.observation.address, transfers);
+        // A peer that gave no answer may have them, so no other one may get them.
+        const bool may_hold = taken ? *taken : taken.error() == peer_error::no_answer;
+        log_event(
+            log_severity::info, "identities_handed_over",
+            {{"entry", candidate.observation.entry.value()}, {"taken", taken && *taken ? "yes" : "no"}});
+        if (may_hold) {
+            return;
+        }
+    }
+}
+
 health_state entry_vm::state::health() const {
     if (stopping) {
         return {false, "stopping"};
@@ -342,6 +363,9 @@
     membership_events events;
     events.own_heartbeat = [this] { return own_heartbeat(); };
     events.received = [this](const heartbeat& beat) { receive(beat); };
+    events.take_over_identities = [this](const std::vector<once_transfer>& transfers) {
+        return router.identities().take_over(transfers);
+    };
     events.gone = [this](const incarnation_id& gone) { ledger.proved_gone(gone); };
     membership = std::make_unique<membership_agent>(configured, self, peers, records, time_source, metrics,
                                                     std::move(events));
@@ -453,6 +477,7 @@
     while (parts.router.open_requests() > 0 && absl::Now() < end) {
         absl::SleepFor(tick_interval);
     }
+    parts.hand_over_identities();
     parts.operator_calls->stop();
     parts.callers->stop();
     parts.allotment->leave(leave_time_limit);
