Stop dispatching to a server that takes no work

Cause: between the moment a server is known to leave and the next update of the service table (100 ms), the scheduler offers the server again to the request that it has just refused, when all others are busy. Each such attempt ends at once, so one request used up the retry budget and was refused as not run. The shard now suspends the server until the next update.

The test of the shard fails without the suspension.

--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -264,6 +264,9 @@
                                                                             const dispatch& work) {
     const auto server = parts_.directory.find(work.instance);
     if (!server || !server->accepts_work() || !parts_.ledger.acquire_slot(work.instance)) {
+        // The shard learns of it only with its next update. Until then, the request would come back to this
+        // server at once and use up the retry budget.
+        service.shard->suspend(work.instance);
         return tl::unexpected(attempt_failure{
             {verdict::not_run, refusal_reason::no_server, "the server takes no work any more"}});
     }
@@ -284,6 +287,7 @@
     const bool leaving = response ? response->leaving : response.error().leaving;
     if (leaving) {
         parts_.directory.mark_leaving(server->vm, server->boot);
+        service.shard->suspend(work.instance);
     }
     return response;
 }
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -72,6 +72,16 @@
     apply_instances(now);
 }
 
+void service_shard::suspend(const vm_id& server) {
+    const absl::MutexLock lock(&mutex_);
+    for (instance_capacity& instance : instances_) {
+        if (instance.instance == server) {
+            instance.accepts_work = false;
+        }
+    }
+    apply_instances(clock_.now());
+}
+
 void service_shard::apply_instances(absl::Time now) {
     std::vector<instance_capacity> usable = instances_;
     for (instance_capacity& instance : usable) {
--- a/source/routing/service_shard.h
+++ b/source/routing/service_shard.h
@@ -53,6 +53,8 @@
 
     cancel_result cancel(const request_id& id);
     void update_instances(absl::Span<const instance_capacity> instances);
+    // Starts nothing more on the server until the next update_instances, which says what the server accepts.
+    void suspend(const vm_id& server);
 
     // Refuses what is queued.
     void refuse_queued(refusal_reason reason, const std::string& message);
--- /dev/null
+++ b/tests/routing/service_shard_test.cpp
@@ -0,0 +1,50 @@
+#include "routing/service_shard.h"
+
+#include <vector>
+
+#include <absl/time/time.h>
+#include <doctest/doctest.h>
+
+#include "common/clock.h"
+
+namespace masticpass {
+
+namespace {
+
+const std::vector<instance_capacity> one_server = {{vm_id("a"), 1, true}};
+
+request_description make_request(const clock& time_source) {
+    request_description request;
+    request.id = request_id("r");
+    request.kind = job_kind("k");
+    request.deadline = time_source.now() + absl::Seconds(30);
+    request.repeatable = true;
+    return request;
+}
+
+}  // namespace
+
+// Guards against a retry that comes back at once, until the retry budget is used up, to a server that takes
+// no work.
+TEST_CASE("a request that is queued again waits while its only server is suspended") {
+    const monotonic_clock time_source;
+    service_shard shard({}, time_source);
+    shard.update_instances(one_server);
+    const auto first = shard.wait_for_slot(make_request(time_source));
+    REQUIRE(first.has_value());
+
+    shard.suspend(vm_id("a"));
+    const attempt_result not_run =
+        tl::unexpected(refusal{verdict::not_run, refusal_reason::no_server, "the server is leaving"});
+    REQUIRE(shard.attempt_ended(request_id("r"), not_run) == attempt_next::queued_again);
+    shard.tick();
+    REQUIRE(shard.load().running == 0);
+    REQUIRE(shard.load().queued == 1);
+
+    shard.update_instances(one_server);
+    const auto second = shard.wait_again(request_id("r"));
+    REQUIRE(second.has_value());
+    REQUIRE(second->instance == vm_id("a"));
+}
+
+}  // namespace masticpass
