Report a timeout of a backend server as a timeout

Cause: the HTTP library waits for whole milliseconds and cuts off the rest of the limit, so the wait ended up to 1 ms before the deadline of the attempt and counted as a broken connection. The limit is rounded up.

Ruled out: a connection that the server closed; the stand-in was still running the request.

Seen before: 502 connection-lost for a response that was late by 1 s, and the new test fails. After: 504 answer-timeout in 10 of 10 runs. The verdict was may-have-run in both cases.

--- a/source/backend/connection.cpp
+++ b/source/backend/connection.cpp
@@ -56,7 +56,9 @@
 
 template <typename Setter>
 void set_time_limit(absl::Duration limit, Setter setter) {
-    const absl::Duration positive = std::max(limit, absl::Milliseconds(1));
+    // The library waits for whole milliseconds and cuts off the rest, so a limit that is not rounded up ends
+    // before the deadline and looks like a broken connection.
+    const absl::Duration positive = absl::Ceil(std::max(limit, absl::Milliseconds(1)), absl::Milliseconds(1));
     const timeval value = absl::ToTimeval(positive);
     setter(value.tv_sec, value.tv_usec);
 }
