Report a silent store as unreachable

Cause: only the watch told whether the store is reachable, and a watch on a store that is silent waits like one without changes, for up to 30 s. The renewal of the lease of the registration, every 3 s with a time limit, now counts too. The registration agent is created before the threads that build heartbeats.

Seen before: status reported a frozen store as reachable for over 20 s. After: the zone cut test passes its wait for it.

--- a/source/agent/registration_agent.h
+++ b/source/agent/registration_agent.h
@@ -45,6 +45,10 @@
     // True from the write of the registration until the lease is known to be lost.
     bool is_registered() const { return is_registered_; }
 
+    // False after a call that the store did not answer in time, until it answers one. A waiting watch cannot
+    // tell a store that is silent from one without changes.
+    bool is_store_answering() const { return is_store_answering_; }
+
 private:
     void run(const std::stop_token& stop);
     // Returns true if the registration stands.
@@ -63,6 +67,7 @@
     record_writer writer_;
     lease_id lease_ = lease_id::none;
     std::atomic<bool> is_registered_ = false;
+    std::atomic<bool> is_store_answering_ = true;
     std::jthread thread_;
 };
 
--- a/source/application/entry_vm.cpp
+++ b/source/application/entry_vm.cpp
@@ -225,7 +225,8 @@
     beat.address = to_string(configured.listen.peer);
     beat.configuration_revision = static_cast<std::uint64_t>(fleet.configuration_revision());
     beat.record_revision = complete_revision();
-    beat.store_reachable = watcher && watcher->is_store_reachable();
+    beat.store_reachable =
+        watcher && watcher->is_store_reachable() && registration && registration->is_store_answering();
     beat.stopping = stopping;
     const settlement settled = ledger.announcement();
     beat.allotment_epoch = settled.epoch;
@@ -326,6 +327,10 @@
             records.offer({change.entry.key, change.removed ? std::string() : change.entry.value, revision});
             watched_revision = std::max<std::uint64_t>(watched_revision, revision);
         });
+    const entry_registration own{configured.entry.id, configured.entry.zone, self,
+                                 to_string(configured.listen.peer)};
+    registration =
+        std::make_unique<registration_agent>(store, retries, time_source, registration_random, own);
     service_table = std::make_unique<service_table_agent>(configured, fleet, directory, ledger, router,
                                                           [this] { return has_fresh_pools(); });
     membership_events events;
@@ -342,10 +347,6 @@
                                                  }
                                              });
     watcher->start();
-    const entry_registration own{configured.entry.id, configured.entry.zone, self,
-                                 to_string(configured.listen.peer)};
-    registration =
-        std::make_unique<registration_agent>(store, retries, time_source, registration_random, own);
     registration->start();
     allotment = std::make_unique<allotment_agent>(configured, self, store, records, fleet, metrics,
                                                   [this](const allotment_member& member) {
