--- /dev/null
+++ b/tests/process/backend_failure_test.cpp
@@ -0,0 +1,190 @@
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+
+#include "fakes/wait_until.h"
+#include "process/test_fleet.h"
+
+namespace masticpass::process_test {
+
+namespace {
+
+using fakes::wait_until;
+
+// One server and one entry VM in each zone, so that vm-a1 gets what entry-a1 is sent.
+constexpr fleet_options small = {.vms_per_zone = 1, .entries_per_zone = 1};
+constexpr fleet_options three_servers = {.vms_per_zone = 3, .entries_per_zone = 1};
+
+std::string take_identity(const test_fleet& fleet) {
+    const auto answer = httplib::Client("http://" + fleet.address("entry-a1", test_fleet::listener::caller))
+                            .Post("/v1/identities?count=1", "", "text/plain");
+    Json::Value body;
+    REQUIRE((answer && Json::Reader().parse(answer->body, body)));
+    return body["identities"][0].asString();
+}
+
+caller_answer send_once(const test_fleet& fleet, int timeout_ms, int response_bytes = 16) {
+    const std::string id = take_identity(fleet);
+    return fleet.send("entry-a1",
+                      {{"Masticpass-Timeout-Ms", std::to_string(timeout_ms)}, {"Masticpass-Request-Id", id}},
+                      absl::StrCat(R"({"job":")", id, R"(","response_bytes":)", response_bytes, "}"));
+}
+
+caller_answer send_repeatable(const test_fleet& fleet, int timeout_ms, const std::string& kind,
+                              const std::string& body) {
+    return fleet.send("entry-a1",
+                      {{"Masticpass-Timeout-Ms", std::to_string(timeout_ms)},
+                       {"Masticpass-Repeatable", "yes"},
+                       {"Masticpass-Kind", kind}},
+                      body);
+}
+
+void require_complete(const caller_answer& answer, std::size_t response_bytes = 16) {
+    INFO(answer.status, " ", answer.verdict, " ", answer.reason, " ", answer.body);
+    REQUIRE(answer.status == 200);
+    REQUIRE(answer.verdict == "ran");
+    REQUIRE(answer.body == std::string(response_bytes, 'r'));
+}
+
+void require_may_have_run(const caller_answer& answer, const std::string& reason) {
+    INFO(answer.status, " ", answer.verdict, " ", answer.reason, " ", answer.body);
+    REQUIRE(answer.verdict == "may-have-run");
+    REQUIRE(answer.reason == reason);
+}
+
+std::string observed_of(const test_fleet& fleet, const std::string& vm) {
+    const Json::Value pool = fleet.operate("entry-a1").show_pool(pool_name("proofs")).value();
+    for (const Json::Value& one : pool["vms"]) {
+        if (one["vm"].asString() == vm) {
+            return one["observed"].asString();
+        }
+    }
+    return "no such VM";
+}
+
+}  // namespace
+
+// Guards against a request that hangs on an open connection that no longer answers, while new ones work.
+TEST_CASE("a request that is repeatable is completed although the open connection is silent") {
+    test_fleet fleet(small);
+    fleet.start_serving();
+    require_complete(send_repeatable(fleet, 6000, "k", R"({"job":"repeatable-1"})"));
+    fleet.control("vm-a1", "/control/silence", Json::objectValue);
+    const caller_answer answer = send_repeatable(fleet, 6000, "k", R"({"job":"repeatable-2"})");
+    require_complete(answer);
+    REQUIRE(answer.elapsed < absl::Seconds(4));
+}
+
+// Guards against a silent connection that is found only at the deadline, and against a wrong verdict then.
+TEST_CASE("a request with an identity on a silent connection ends as may-have-run well before its deadline") {
+    test_fleet fleet(small);
+    fleet.start_serving();
+    // Teaches the run time of this kind, and leaves a connection that is used again without a check.
+    for (int index = 0; index < 30; ++index) {
+        require_complete(send_once(fleet, 20000));
+    }
+    fleet.control("vm-a1", "/control/silence", Json::objectValue);
+    const caller_answer answer = send_once(fleet, 20000);
+    if (answer.status == 200) {
+        // The connection was idle for long enough to be checked before use.
+        require_complete(answer);
+    } else {
+        require_may_have_run(answer, "connection-silent");
+    }
+    REQUIRE(answer.elapsed < absl::Seconds(10));
+    require_complete(send_once(fleet, 5000));
+    fleet.require_clean_backends();
+}
+
+// Guards against a truncated, foreign or late response that reaches a caller as the response to its request.
+TEST_CASE("truncated, foreign and late responses end as may-have-run and no caller gets one") {
+    test_fleet fleet(small);
+    fleet.start_serving();
+    fleet.control("vm-a1", "/control/behaviour", object("truncate", true));
+    const caller_answer truncated = send_once(fleet, 5000);
+    REQUIRE(truncated.verdict == "may-have-run");
+    REQUIRE((truncated.reason == "answer-truncated" || truncated.reason == "connection-lost"));
+    REQUIRE(truncated.elapsed < absl::Seconds(2));
+    fleet.control("vm-a1", "/control/behaviour", object("truncate", false));
+    fleet.control("vm-a1", "/control/behaviour", object("wrong_attempt_id", true));
+    const caller_answer foreign = send_once(fleet, 5000);
+    require_may_have_run(foreign, "answer-mismatched");
+    REQUIRE(foreign.elapsed < absl::Seconds(2));
+    fleet.control("vm-a1", "/control/behaviour", object("wrong_attempt_id", false));
+    fleet.control("vm-a1", "/control/behaviour", object("late_ms", 1500));
+    const caller_answer late = send_once(fleet, 500, 100);
+    require_may_have_run(late, "answer-timeout");
+    REQUIRE(late.elapsed < absl::Seconds(2));
+    fleet.control("vm-a1", "/control/behaviour", object("late_ms", 0));
+    // The late response has another size.
+    require_complete(send_once(fleet, 5000, 32), 32);
+    fleet.require_clean_backends();
+}
+
+// Guards against a server that attracts requests by failing them fast, and against ejecting healthy ones.
+TEST_CASE("a server that fails everything is ejected and the others go on") {
+    test_fleet fleet(three_servers);
+    fleet.start_serving();
+    fleet.control("vm-a1", "/control/behaviour", object("fail_all", true));
+    const auto caller = fleet.start_caller({"--seconds", "5", "--once-share", "0.5"});
+    REQUIRE(wait_until([&] { return observed_of(fleet, "vm-a1") == "ejected"; }));
+    for (const std::string vm : {"vm-a2", "vm-a3", "vm-b1", "vm-b2", "vm-b3"}) {
+        REQUIRE(observed_of(fleet, vm).empty());
+    }
+    const Json::Value seen = test_fleet::finish(*caller);
+    REQUIRE(seen["cut"].asInt() == 0);
+    REQUIRE(seen["incomplete"].asInt() == 0);
+    // Failures of the server itself; its callers know that it ran.
+    for (const std::string& name : seen["refusals"].getMemberNames()) {
+        REQUIRE(name == "ran ");
+    }
+    REQUIRE(seen["complete"].asInt() > 0.8 * seen["sent"].asInt());
+    for (int index = 0; index < 30; ++index) {
+        require_complete(send_repeatable(fleet, 5000, "short", R"({"job":"repeatable-x"})"));
+    }
+    fleet.require_clean_backends();
+}
+
+// Guards against a faulty job that takes servers away from jobs that work.
+TEST_CASE("a kind of job that fails on all servers is refused and no server is ejected") {
+    test_fleet fleet(three_servers);
+    fleet.start_serving();
+    for (int index = 0; index < 30; ++index) {
+        require_complete(send_repeatable(fleet, 5000, "good", R"({"job":"repeatable-good"})"));
+    }
+    caller_answer refused;
+    REQUIRE(wait_until([&] {
+        refused = send_repeatable(fleet, 5000, "bad", R"({"job":"repeatable-bad","fail":true})");
+        return refused.verdict != "ran";
+    }));
+    REQUIRE(refused.verdict == "not-run");
+    REQUIRE(refused.reason == "job-fails-everywhere");
+    for (const std::string& vm : fleet.vms()) {
+        REQUIRE(observed_of(fleet, vm).empty());
+    }
+    for (int index = 0; index < 30; ++index) {
+        require_complete(send_repeatable(fleet, 5000, "good", R"({"job":"repeatable-good"})"));
+    }
+}
+
+// Guards against new work for a leaving server when only the server itself says that it leaves.
+TEST_CASE("a leaving server under load gets nothing new after 3 s although the VM list lags") {
+    test_fleet fleet;
+    fleet.start_serving();
+    fleet.control("", "/control/faults", object("vm_list_lag_ms", 60000));
+    const auto caller = fleet.start_caller(
+        {"--seconds", "8", "--rate", "300", "--threads", "48", "--long-share", "0.3", "--once-share", "0.5"});
+    REQUIRE(wait_until([&] { return fleet.counters("vm-a1")["completed"].asInt() > 20; }));
+    fleet.control("vm-a1", "/control/behaviour", object("leaving", true));
+    const absl::Time bound = absl::Now() + absl::Seconds(3);
+    REQUIRE(wait_until([&] { return absl::Now() >= bound; }));
+    const Json::Value at_bound = fleet.counters("vm-a1");
+    const Json::Value seen = test_fleet::finish(*caller);
+    const Json::Value at_end = fleet.counters("vm-a1");
+    REQUIRE(at_end["offered_while_leaving"] == at_bound["offered_while_leaving"]);
+    REQUIRE(at_end["distinct_jobs"] == at_bound["distinct_jobs"]);
+    INFO("retries without a server: ", fleet.metric("masticpass_retries_total{reason=\"no-server\"}"));
+    REQUIRE(seen["complete"].asInt() == seen["sent"].asInt());
+    fleet.require_clean_backends();
+}
+
+}  // namespace masticpass::process_test
