--- a/source/agent/membership_agent.h
+++ b/source/agent/membership_agent.h
@@ -16,6 +16,7 @@
 #include "agent/record_cache.h"
 #include "common/clock.h"
 #include "decision/membership/membership_view.h"
+#include "peer/load_exchange.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
 #include "settings/settings.h"
@@ -67,8 +68,9 @@
 
 private:
     void exchange(const std::string& address);
+    bool must_exchange(const std::string& address);
     void note_refused(const std::string& address);
-    bool accept(const heartbeat& beat);
+    bool accept(heartbeat beat);
     void reconcile(const std::string& address, const heartbeat& own, const heartbeat& peer);
 
     const settings& configured_;
@@ -80,10 +82,15 @@
     metrics_registry& metrics_;
     const membership_events events_;
     const absl::Duration silence_limit_;
+    load_exchange loads_;
 
     mutable absl::Mutex mutex_;
     membership_view view_ ABSL_GUARDED_BY(mutex_);
     std::map<entry_id, heartbeat> latest_ ABSL_GUARDED_BY(mutex_);
+    // When a heartbeat from each address was last received.
+    std::map<std::string, absl::Time> heard_ ABSL_GUARDED_BY(mutex_);
+    // Addresses with which the next exchange takes place even if the other end would start it.
+    std::set<std::string> requested_ ABSL_GUARDED_BY(mutex_);
 
     absl::Mutex links_mutex_;
     bool stopped_ ABSL_GUARDED_BY(links_mutex_) = false;
--- a/source/decision/serving/server_health.h
+++ b/source/decision/serving/server_health.h
@@ -51,6 +51,7 @@
 
     leaving_servers& leaving() { return leaving_; }
     std::size_t ejected() const { return ejected_; }
+    std::vector<vm_id> ejected_servers() const;
     std::size_t largest_ejected() const { return servers_.size() / options_.servers_per_ejection; }
 
 private:
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "common/invariant.h"
+
 namespace masticpass {
 
 namespace {
@@ -76,8 +78,8 @@
     if (!configured_) {
         return refuse(verdict::not_run, refusal_reason::no_configuration, "no configuration is in force yet");
     }
-    const auto found = services_.find(service);
-    if (found == services_.end()) {
+    const auto found = services_->find(service);
+    if (found == services_->end()) {
         return refuse(verdict::not_run, refusal_reason::unknown_service,
                       "no service " + service.value() + " is declared");
     }
@@ -154,7 +156,9 @@
     const absl::Time now = parts_.time_source.now();
     // The identity may expire while the request runs; its record is gone then, and nothing is left to settle.
     if (!result && result.error().outcome == verdict::not_run) {
-        static_cast<void>(once_.revert(identity, now));
+        const auto reverted = once_.revert(identity, now);
+        check_invariant(reverted || reverted.error() != once_error::not_in_progress,
+                        "an identity is settled by the run that holds it");
         return;
     }
     once_response response;
@@ -164,7 +168,9 @@
         response.content_type = result->content_type;
         response.body = result->body;
     }
-    static_cast<void>(once_.finish(identity, std::move(response), now));
+    const auto finished = once_.finish(identity, std::move(response), now);
+    check_invariant(finished || finished.error() != once_error::not_in_progress,
+                    "an identity is settled by the run that holds it");
 }
 
 request_result request_router::forward_to_issuer(const service_request& request,
@@ -318,7 +324,8 @@
 }
 
 std::optional<verdict> request_router::cancel_here(const request_id& id) {
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         switch (service->shard->cancel(id)) {
             case cancel_result::removed:
                 return verdict::not_run;
@@ -351,7 +358,8 @@
     {
         const absl::MutexLock lock(&services_mutex_);
         configured_ = true;
-        removed = std::exchange(services_, {});
+        removed = *services_;
+        auto present_services = std::make_shared<service_table>();
         for (const routed_service& service : services) {
             const auto present = removed.extract(service.service);
             std::shared_ptr<served> entry = present.empty() ? std::make_shared<served>() : present.mapped();
@@ -360,8 +368,9 @@
             }
             entry->urgent = service.urgent;
             entry->shard->update_instances(service.instances);
-            services_.emplace(service.service, std::move(entry));
+            present_services->emplace(service.service, std::move(entry));
         }
+        services_ = std::move(present_services);
     }
     for (const auto& [name, service] : removed) {
         service->shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
@@ -369,47 +378,47 @@
 }
 
 void request_router::tick() {
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         service->shard->tick();
     }
 }
 
 void request_router::check_ejected_servers() {
     std::set<vm_id> ejected;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         while (const auto vm = service->shard->next_probe()) {
             const auto server = parts_.directory.find(*vm);
             const bool healthy = server && parts_.backends.probe(server->address, ejected_probe_time_limit) ==
                                                probe_result::healthy;
             service->shard->probe_ended(*vm, healthy);
         }
-        for (const server_state& server : parts_.directory.servers()) {
-            if (service->shard->is_ejected(server.vm)) {
-                ejected.insert(server.vm);
-            }
+        for (vm_id& vm : service->shard->ejected_servers()) {
+            ejected.insert(std::move(vm));
         }
     }
-    for (const server_state& server : parts_.directory.servers()) {
-        parts_.directory.set_ejected(server.vm, ejected.contains(server.vm));
-    }
+    parts_.directory.set_ejected(ejected);
 }
 
 void request_router::begin_stop() {
     stopping_ = true;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         service->shard->refuse_queued(refusal_reason::stopping, "this entry VM is stopping");
     }
 }
 
 std::vector<routed_load> request_router::loads() const {
     std::vector<routed_load> result;
-    for (const auto& [name, service] : table()) {
+    const auto services = table();
+    for (const auto& [name, service] : *services) {
         result.push_back({name, service->shard->load()});
     }
     return result;
 }
 
-request_router::service_table request_router::table() const {
+std::shared_ptr<const request_router::service_table> request_router::table() const {
     const absl::MutexLock lock(&services_mutex_);
     return services_;
 }
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -3,6 +3,8 @@
 #include <memory>
 #include <utility>
 
+#include "common/invariant.h"
+
 namespace masticpass {
 
 namespace {
@@ -113,9 +115,9 @@
     apply_instances(now);
 }
 
-bool service_shard::is_ejected(const vm_id& server) const {
+std::vector<vm_id> service_shard::ejected_servers() const {
     const absl::MutexLock lock(&mutex_);
-    return health_.is_ejected(server);
+    return health_.ejected_servers();
 }
 
 void service_shard::refuse_queued(refusal_reason reason, const std::string& message) {
@@ -127,7 +129,9 @@
 
 void service_shard::tick() {
     const absl::MutexLock lock(&mutex_);
-    advance(clock_.now());
+    if (!waiters_.empty()) {
+        advance(clock_.now());
+    }
 }
 
 shard_load service_shard::load() const {
@@ -161,6 +165,7 @@
     if (found == waiters_.end()) {
         return;
     }
+    check_invariant(!found->second->outcome, "a waiting request is dispatched or refused once");
     found->second->outcome = std::move(outcome);
     found->second->changed.Signal();
 }
