Release the oldest connection count of an address first

An address can pass to another VM while connections to the VM before are still open. Each closed connection released the newest count of its address, so connections of the VM before that closed made room for more connections to the present VM than its slots allow.

The count of the allotment itself is right: it was exact as long as the address stayed with one VM.

Seen before: with the limit of 64 connections open to each of two VMs that had one address in turn, closing 64 connections let a 65th be opened to the present VM. After: it is refused until the present VM's own have closed.

--- a/source/routing/slot_ledger.cpp
+++ b/source/routing/slot_ledger.cpp
@@ -91,8 +91,10 @@
 void slot_ledger::release_connection(std::string_view address) {
     const absl::MutexLock lock(&mutex_);
     const auto found = connections_.find(std::string(address));
-    allotment_.release_connection(found->second.back());
-    found->second.pop_back();
+    // Which of the connections closed is not known. Releasing the oldest count first never leaves the present
+    // VM with fewer counted connections than it has.
+    allotment_.release_connection(found->second.front());
+    found->second.erase(found->second.begin());
     if (found->second.empty()) {
         connections_.erase(found);
     }
