Take "not run" only from a response to the same attempt

A 503 with Masticpass-Not-Run was accepted before its attempt id was compared, so the statement of a server about another attempt gave the verdict "not run" for an attempt that may have run, which permits a second run.

Ruled out: a reused connection alone does not cause it, since a connection is not kept after a 503; a server or a middlebox that mixes up responses does. A 503 without an attempt id still counts as not run, as the design states.

Seen before: verdict not-run, reason server-refused, for a 503 with the id of another attempt. After: may-have-run, answer-mismatched.

--- a/source/backend/http_backend_client.cpp
+++ b/source/backend/http_backend_client.cpp
@@ -114,11 +114,15 @@
         return tl::unexpected(to_failure(result.error()));
     }
     const bool leaving = states_yes(*result, "Masticpass-Leaving");
-    if (result->status == status_service_unavailable && states_yes(*result, "Masticpass-Not-Run")) {
+    // A statement that names another attempt says nothing about this one.
+    const std::string echoed = result->get_header_value("Masticpass-Attempt-Id");
+    const bool is_own = echoed == request.attempt.value();
+    if (result->status == status_service_unavailable && states_yes(*result, "Masticpass-Not-Run") &&
+        (is_own || echoed.empty())) {
         return tl::unexpected(failure(verdict::not_run, refusal_reason::server_refused,
                                       "the backend server did not start the request", leaving));
     }
-    if (result->get_header_value("Masticpass-Attempt-Id") != request.attempt.value()) {
+    if (!is_own) {
         return tl::unexpected(failure(verdict::may_have_run, refusal_reason::answer_mismatched,
                                       "the response belongs to another attempt", leaving));
     }
