Keep the newest version of each pool record

The record cache passes a record on after it has released its lock, so two threads that bring two versions of one pool record can pass them on in the wrong order. The configuration and the allotments are guarded by their own revision and epoch; pool records had no such guard, and the older version stayed until the next change of the record.

Ruled out: the cache itself never takes an older revision.

Seen before: after revision 6 and then 5 of one record, the state held 5, and a removal at 4 took the record away. After: it holds 6 in both cases, also across a removal.

--- a/source/agent/fleet_state.cpp
+++ b/source/agent/fleet_state.cpp
@@ -46,17 +46,24 @@
 }
 
 void fleet_state::take_pool(const record& changed) {
-    if (changed.value.empty()) {
-        const absl::MutexLock lock(&mutex_);
-        pools_.erase(pool_name(changed.key.substr(pool_key_prefix.size())));
+    tl::expected<pool_record, std::string> parsed;
+    if (!changed.value.empty()) {
+        parsed = parse_pool_record(changed.value);
+        if (!parsed) {
+            reject(changed);
+            return;
+        }
+    }
+    const absl::MutexLock lock(&mutex_);
+    std::uint64_t& taken = pool_revisions_[changed.key];
+    if (changed.revision <= taken) {
         return;
     }
-    auto parsed = parse_pool_record(changed.value);
-    if (!parsed) {
-        reject(changed);
+    taken = changed.revision;
+    if (changed.value.empty()) {
+        pools_.erase(pool_name(changed.key.substr(pool_key_prefix.size())));
         return;
     }
-    const absl::MutexLock lock(&mutex_);
     const pool_name pool = parsed->pool;
     pools_[pool] = {static_cast<std::int64_t>(changed.revision), std::move(*parsed)};
 }
--- a/source/agent/fleet_state.h
+++ b/source/agent/fleet_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -52,6 +53,9 @@
     revision_gate gate_ ABSL_GUARDED_BY(mutex_);
     std::shared_ptr<const configuration_record> configuration_ ABSL_GUARDED_BY(mutex_);
     std::map<pool_name, stored_pool_record> pools_ ABSL_GUARDED_BY(mutex_);
+    // The store revision last taken of each pool key, kept after a removal: threads that bring versions of
+    // one record may pass them on in either order.
+    std::map<std::string, std::uint64_t> pool_revisions_ ABSL_GUARDED_BY(mutex_);
     std::map<zone_name, allotment_record> allotments_ ABSL_GUARDED_BY(mutex_);
 };
 
