Refuse an operator's drain while stopping

The rounds and the moves of the maintenance agent end with a planned stop, but a drain still reserved a VM, which then waited for another entry VM to carry the reservation on.

Seen before: a drain after stop() wrote the pool record. After: it is refused as unavailable without a write.

--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -229,6 +229,10 @@
 
 operations_result<drain_result> maintenance_agent::drain(const vm_id& vm, const operation_id& operation) {
     const absl::MutexLock lock(&round_mutex_);
+    if (stopping_) {
+        return tl::unexpected(
+            operations_error{operations_error_code::unavailable, "this entry VM is stopping"});
+    }
     const maintenance_view present = view();
     const auto owner = owner_of(vm, present.pools);
     if (!owner) {
