Pass on "not run" only after the issuer looked the identity up

The HTTP front of the issuer refuses a past deadline, a malformed header or a large body before the issuer looks the identity up. The entry VM that forwarded the request passed this on as "not run", although the issuer may have run the request when it was sent before. A request that reaches the issuer with less than 1 ms left is such a case, since its time limit is forwarded as 0 ms.

Ruled out: refusals by the issuer itself are right, as it asks its registry first. A past deadline in its queue has the same reason as one at its front, so both become "may have run" here.

After: "may have run" for these, "not run" still for a full queue.

--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -40,6 +40,20 @@
     return forwarded.outcome == verdict::not_run || forwarded.reason == refusal_reason::peer_unreachable;
 }
 
+// Whether a refusal by the issuer's entry VM leaves open if the issuer ran the request when it was sent
+// before: it was not reached, or its HTTP front may have refused before the identity was looked up.
+bool leaves_identity_open(const refusal& refused) {
+    switch (refused.reason) {
+        case refusal_reason::peer_unreachable:
+        case refusal_reason::invalid_request:
+        case refusal_reason::request_too_large:
+        case refusal_reason::deadline_passed:
+            return true;
+        default:
+            return false;
+    }
+}
+
 constexpr absl::Duration retry_after_stop = absl::Seconds(1);
 
 tl::unexpected<refusal> refuse(verdict outcome, refusal_reason reason, std::string message) {
@@ -176,7 +190,7 @@
     }
     parts_.metrics.count({"masticpass_forwards_total", "reason", "issuer"});
     request_result result = parts_.peers.forward(issuer->address, request);
-    if (!result && result.error().reason == refusal_reason::peer_unreachable) {
+    if (!result && leaves_identity_open(result.error())) {
         // The caller may have sent the same request to the issuer before.
         result.error().outcome = verdict::may_have_run;
     }
