Answer requests that a removed service queues again

A service that a new configuration removes got its queue refused once, and after that nobody ticked it. A request that was running then and was queued again after a failed attempt waited for a slot without an end, not even at its deadline, if the service had no usable slot any more. The same holds for a request admitted just before the removal.

Ruled out: requests that were queued at the removal are refused at once, and those that run keep their response.

Seen before: a repeatable request whose attempt failed while its service was removed had no answer after 20 s of ticks.

--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -372,16 +372,32 @@
             entry->shard->update_instances(service.instances);
             services_.emplace(service.service, std::move(entry));
         }
+        for (const auto& [name, service] : removed) {
+            removed_.push_back(service);
+        }
     }
     for (const auto& [name, service] : removed) {
-        service->shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
+        refuse_removed(*service);
     }
 }
 
+void request_router::refuse_removed(served& service) {
+    service.shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
+}
+
 void request_router::tick() {
     for (const auto& [name, service] : table()) {
         service->shard->tick();
     }
+    std::vector<std::shared_ptr<served>> removed;
+    {
+        const absl::MutexLock lock(&services_mutex_);
+        std::erase_if(removed_, [](const auto& service) { return service.use_count() == 1; });
+        removed = removed_;
+    }
+    for (const auto& service : removed) {
+        refuse_removed(*service);
+    }
 }
 
 void request_router::check_ejected_servers() {
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -104,6 +104,7 @@
     tl::expected<backend_response, attempt_failure> run_attempt(const service_request& request,
                                                                 served& service, const dispatch& work);
     request_description describe(const service_request& request, const served& service);
+    static void refuse_removed(served& service);
     service_table table() const;
 
     const router_parts parts_;
@@ -113,6 +114,8 @@
     std::atomic<std::uint64_t> next_attempt_ = 1;
     mutable absl::Mutex services_mutex_;
     service_table services_ ABSL_GUARDED_BY(services_mutex_);
+    // Removed services that still have requests; what these queue again after a failed attempt is refused.
+    std::vector<std::shared_ptr<served>> removed_ ABSL_GUARDED_BY(services_mutex_);
     bool configured_ ABSL_GUARDED_BY(services_mutex_) = false;
     absl::Mutex once_mutex_;
     once_registry once_ ABSL_GUARDED_BY(once_mutex_);
