--- /dev/null
+++ b/tests/fakes/raw_server.h
@@ -0,0 +1,75 @@
+#ifndef MASTICPASS_FAKES_RAW_SERVER_H
+#define MASTICPASS_FAKES_RAW_SERVER_H
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+namespace masticpass::fakes {
+
+// One accepted connection, on its own thread.
+class raw_connection {
+public:
+    raw_connection(int descriptor, int number) : descriptor_(descriptor), number_(number) {}
+
+    // 1 for the first connection that the server accepted.
+    int number() const { return number_; }
+    void send(std::string_view bytes) const;
+    // Ends the connection after the responder returns.
+    void close() { is_closing_ = true; }
+
+private:
+    friend class raw_server;
+
+    int descriptor_;
+    int number_;
+    bool is_closing_ = false;
+};
+
+// A server on a free loopback port that hands HTTP requests to a function, which sends any bytes it likes.
+// Thread safety: all methods may be called from any thread; the function is called on one thread for each
+// connection.
+class raw_server {
+public:
+    using responder = std::function<void(raw_connection& link, const std::string& request)>;
+
+    explicit raw_server(responder respond);
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+    // Ends all connections; a responder that waits must have been released.
+    ~raw_server();
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    int connections() const { return connections_.load(); }
+    int closed() const { return closed_.load(); }
+
+private:
+    void accept_all();
+    void serve(int descriptor, int number);
+
+    const responder respond_;
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<int> connections_ = 0;
+    std::atomic<int> closed_ = 0;
+    absl::Mutex mutex_;
+    std::list<int> open_ ABSL_GUARDED_BY(mutex_);
+    // Used by the accepting thread only until it ends.
+    std::list<std::thread> workers_;
+    std::thread acceptor_;
+};
+
+// The value of a header in the text of a request; empty if there is none.
+std::string header_of(const std::string& request, const std::string& header);
+
+}  // namespace masticpass::fakes
+
+#endif
--- /dev/null
+++ b/tests/routing/request_router_test.cpp
@@ -0,0 +1,276 @@
+#include "routing/request_router.h"
+
+#include <future>
+#include <optional>
+#include <thread>
+
+#include <absl/synchronization/notification.h>
+#include <doctest/doctest.h>
+
+#include "fakes/fake_backend_client.h"
+#include "fakes/fake_peer_client.h"
+#include "fakes/manual_clock.h"
+#include "fakes/wait_until.h"
+
+namespace masticpass {
+
+namespace {
+
+using fakes::fake_backend_client;
+
+// A router with one service on one server of which it has one slot.
+struct fixture {
+    const incarnation_id self{"i1"};
+    const service_name service{"s"};
+    fakes::manual_clock time;
+    fake_backend_client backends;
+    fakes::fake_peer_client peers;
+    forwarding forwards{{entry_id("e1"), region_name("r"), zone_name("z")}, {}};
+    server_directory directory;
+    slot_ledger ledger{self};
+    metrics_registry metrics;
+    request_router router{{self, time, backends, peers, forwards, directory, ledger, metrics}, {}};
+    absl::Notification released;
+
+    fixture() {
+        directory.update({.index = 1,
+                          .vms = {{.vm = vm_id("v1"),
+                                   .zone = zone_name("z"),
+                                   .rack = {},
+                                   .address = "127.0.0.1:1",
+                                   .boot = boot_id("b1"),
+                                   .pool = pool_name("p")}}});
+        ledger.apply({.epoch = 1, .members = {{entry_id("e1"), self, 1}}});
+        set_service(1);
+    }
+
+    void set_service(int slots, int retry_burst = 0, bool accepts_work = true) {
+        routed_service routed;
+        routed.service = service;
+        routed.scheduler.retry_percent = 0;
+        routed.scheduler.retry_burst = retry_burst;
+        routed.instances = {{vm_id("v1"), slots, accepts_work}};
+        router.set_services({routed});
+    }
+
+    service_request request(const request_id& id = {}) const {
+        service_request result;
+        result.service = service;
+        result.kind = job_kind("k");
+        result.deadline = time.now() + absl::Minutes(1);
+        result.repeatable = id.empty();
+        result.id = id;
+        return result;
+    }
+
+    request_id issue() { return router.issue_identities(1).value().front(); }
+
+    std::future<request_result> handle_in_background(const service_request& sent) {
+        return std::async(std::launch::async, [this, sent] { return router.handle(sent); });
+    }
+
+    // Every attempt waits for `released`.
+    void hold_attempts() {
+        backends.set_responder([this](const backend_request&) {
+            released.WaitForNotification();
+            return fake_backend_client::done();
+        });
+    }
+
+    void fail_attempts(verdict outcome, refusal_reason reason) {
+        backends.set_responder(
+            [=](const backend_request&) { return fake_backend_client::failed(outcome, reason); });
+    }
+
+    bool becomes_running() {
+        return fakes::wait_until([&] { return backends.runs() == 1; });
+    }
+    bool becomes_queued(int count) {
+        return fakes::wait_until([&] { return router.loads().front().load.queued == count; });
+    }
+
+    // Makes another entry VM known that reports a free slot.
+    void add_peer() {
+        heartbeat beat;
+        beat.entry = entry_id("e2");
+        beat.incarnation = incarnation_id("i2");
+        beat.zone = zone_name("z");
+        beat.address = "127.0.0.1:2";
+        beat.services = {{service, 1, 0, 0}};
+        forwards.update(beat);
+    }
+};
+
+std::optional<verdict> verdict_of_refusal(const request_result& result) {
+    return result ? std::nullopt : std::optional(result.error().outcome);
+}
+
+}  // namespace
+
+// Guards against a second run, and against "not run" for a request that runs, when a caller sends again.
+TEST_CASE_FIXTURE(fixture,
+                  "an identity runs once, also when it is sent again while stopping and afterwards") {
+    hold_attempts();
+    const request_id id = issue();
+    auto first = handle_in_background(request(id));
+    REQUIRE(becomes_running());
+    for (const bool is_stopping : {false, true}) {
+        if (is_stopping) {
+            router.begin_stop();
+        }
+        const auto again = router.handle(request(id));
+        CHECK(verdict_of_refusal(again) == verdict::may_have_run);
+        CHECK(again.error().reason == refusal_reason::identity_in_use);
+    }
+    released.Notify();
+    REQUIRE(first.get().has_value());
+    const auto repeated = router.handle(request(id));
+    REQUIRE(repeated.has_value());
+    CHECK(repeated->body == "done");
+    CHECK(backends.runs() == 1);
+}
+
+// Guards against an identity that is lost by an attempt that did not run.
+TEST_CASE_FIXTURE(fixture, "an identity whose attempt did not run can be used again") {
+    fail_attempts(verdict::not_run, refusal_reason::server_refused);
+    const request_id id = issue();
+    CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::not_run);
+    backends.set_responder({});
+    CHECK(router.handle(request(id)).has_value());
+    CHECK(router.handle(request(id)).has_value());
+    CHECK(backends.runs() == 2);
+}
+
+// Guards against a second run after the response of the backend server was lost.
+TEST_CASE_FIXTURE(fixture, "an identity whose attempt may have run does not run again") {
+    set_service(1, 10);
+    fail_attempts(verdict::may_have_run, refusal_reason::connection_lost);
+    const request_id id = issue();
+    CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::may_have_run);
+    backends.set_responder({});
+    CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::may_have_run);
+    CHECK(backends.runs() == 1);
+}
+
+// Guards against identities that nobody issued, and against a request without one that runs twice.
+TEST_CASE_FIXTURE(fixture, "a request that must not be repeated needs an identity that was issued") {
+    service_request without = request();
+    without.repeatable = false;
+    CHECK(router.handle(without).error().reason == refusal_reason::identity_required);
+    for (const char* id : {"i1.1", "i1", "i1.x"}) {
+        const auto result = router.handle(request(request_id(id)));
+        CHECK(verdict_of_refusal(result) == verdict::not_run);
+        CHECK(result.error().reason == refusal_reason::identity_unknown);
+    }
+    CHECK(backends.runs() == 0);
+}
+
+// Guards against "not run" from an entry VM that cannot know it: the issuer may have run the request when it
+// was sent before.
+TEST_CASE_FIXTURE(fixture, "an entry VM that did not issue the identity does not claim that it did not run") {
+    const request_id id("i2.1");
+    CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::may_have_run);
+    add_peer();
+    CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::may_have_run);
+    service_request forwarded = request(id);
+    forwarded.forwarded = true;
+    const int before = peers.forwards;
+    CHECK(verdict_of_refusal(router.handle(forwarded)) == verdict::may_have_run);
+    CHECK(peers.forwards == before);
+    // The issuer's front refuses these before the issuer looks the identity up.
+    for (const auto reason : {refusal_reason::deadline_passed, refusal_reason::request_too_large,
+                              refusal_reason::invalid_request}) {
+        peers.on_forward = [=](const service_request&) -> request_result {
+            return tl::unexpected(refusal{verdict::not_run, reason, ""});
+        };
+        CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::may_have_run);
+    }
+    peers.on_forward = [](const service_request&) -> request_result {
+        return tl::unexpected(refusal{verdict::not_run, refusal_reason::queue_full_items, ""});
+    };
+    CHECK(verdict_of_refusal(router.handle(request(id))) == verdict::not_run);
+    CHECK(backends.runs() == 0);
+}
+
+// Guards against "not run" for a request that the other entry VM may have run.
+TEST_CASE_FIXTURE(fixture, "a lost forward keeps its verdict when the request does not run here either") {
+    set_service(0);
+    add_peer();
+    peers.on_forward = [this](const service_request&) -> request_result {
+        time.advance(absl::Minutes(2));
+        return tl::unexpected(refusal{verdict::may_have_run, refusal_reason::peer_unreachable, ""});
+    };
+    CHECK(verdict_of_refusal(router.handle(request())) == verdict::may_have_run);
+    CHECK(peers.forwards == 1);
+    CHECK(backends.runs() == 0);
+}
+
+// Guards against retries beyond the budget, which multiply the load on the remaining servers.
+TEST_CASE_FIXTURE(fixture, "a repeatable request is retried within the budget only") {
+    set_service(1, 2);
+    router.set_services({});
+    set_service(1, 2);
+    fail_attempts(verdict::may_have_run, refusal_reason::connection_lost);
+    CHECK(verdict_of_refusal(router.handle(request())) == verdict::may_have_run);
+    CHECK(backends.runs() == 3);
+    CHECK(verdict_of_refusal(router.handle(request())) == verdict::may_have_run);
+    CHECK(backends.runs() == 4);
+}
+
+// Guards against a cancelled request that keeps its place in the queue or runs later.
+TEST_CASE_FIXTURE(fixture, "cancelling a queued request frees its place") {
+    hold_attempts();
+    auto running = handle_in_background(request());
+    REQUIRE(becomes_running());
+    service_request second = request();
+    second.id = request_id("c1");
+    auto queued = handle_in_background(second);
+    REQUIRE(becomes_queued(1));
+    CHECK(router.cancel(second.id, true) == verdict::not_run);
+    CHECK(router.loads().front().load.queued == 0);
+    const auto cancelled = queued.get();
+    CHECK(verdict_of_refusal(cancelled) == verdict::not_run);
+    CHECK(cancelled.error().reason == refusal_reason::cancelled);
+    released.Notify();
+    CHECK(running.get().has_value());
+    CHECK(backends.runs() == 1);
+}
+
+// Guards against a planned stop that cuts a request, or leaves a queued one without an answer.
+TEST_CASE_FIXTURE(fixture, "a stop refuses what is queued as not run and cuts nothing") {
+    hold_attempts();
+    auto running = handle_in_background(request());
+    REQUIRE(becomes_running());
+    auto queued = handle_in_background(request(issue()));
+    REQUIRE(becomes_queued(1));
+    router.begin_stop();
+    const auto refused = queued.get();
+    CHECK(verdict_of_refusal(refused) == verdict::not_run);
+    CHECK(refused.error().reason == refusal_reason::stopping);
+    CHECK(router.handle(request()).error().reason == refusal_reason::stopping);
+    CHECK(router.open_requests() == 1);
+    released.Notify();
+    CHECK(running.get().has_value());
+    CHECK(fakes::wait_until([&] { return router.open_requests() == 0; }));
+}
+
+// Guards against a request that waits for ever because nobody ticks a service that was removed.
+TEST_CASE_FIXTURE(fixture, "a request of a removed service that is queued again gets an answer") {
+    router.set_services({});
+    set_service(1, 10);
+    backends.set_responder([this](const backend_request&) {
+        set_service(1, 10, false);
+        router.set_services({});
+        return fake_backend_client::failed(verdict::may_have_run, refusal_reason::connection_lost);
+    });
+    auto pending = handle_in_background(request());
+    const bool answered = fakes::wait_until([&] {
+        router.tick();
+        return pending.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    });
+    REQUIRE(answered);
+    CHECK(verdict_of_refusal(pending.get()) == verdict::may_have_run);
+    CHECK(backends.runs() == 1);
+}
+
+}  // namespace masticpass
