--- /dev/null
+++ b/tests/agent/maintenance_agent_test.cpp
@@ -0,0 +1,248 @@
+#include "agent/maintenance_agent.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "agent/record_keys.h"
+#include "decision/configuration/sample.h"
+#include "fakes/fake_configuration_store.h"
+#include "fakes/fake_vm_control.h"
+#include "fakes/manual_clock.h"
+#include "fakes/wait_until.h"
+
+namespace masticpass {
+
+namespace {
+
+constexpr int largest_unavailable = 2;
+
+// The fleet of small_configuration() with one entry VM in each zone that acknowledges each drain.
+struct fixture {
+    const incarnation_id self{"i1"};
+    fakes::fake_configuration_store store;
+    fakes::fake_vm_control control;
+    fakes::manual_clock time;
+    metrics_registry metrics;
+    fleet_state fleet{zone_name("a"), metrics};
+    std::atomic<bool> is_budget_kept = true;
+    record_cache records{[this](const record& changed) { take(changed); }};
+    absl::Mutex mutex;
+    vm_listing listing{.index = 1, .vms = {}};
+    // VMs that every entry VM reports as unreachable.
+    std::set<vm_id> unreachable;
+    std::atomic<bool> acknowledges = true;
+    fleet_observer observer{fleet, time, sources()};
+    std::unique_ptr<maintenance_agent> agent;
+
+    fixture() {
+        for (const char* pool : {"dyeing", "weaving", "desk"}) {
+            for (int number = 0; number < 4; ++number) {
+                add_vm(pool, number);
+            }
+        }
+        records.offer({"config", serialize(small_record()), 1});
+    }
+
+    fleet_sources sources() {
+        return {[this] {
+                    const absl::MutexLock lock(&mutex);
+                    return std::make_shared<const vm_listing>(listing);
+                },
+                [this] { return heartbeats(); }, [](const allotment_member&) { return false; }};
+    }
+
+    void add_vm(const std::string& pool, int number) {
+        listed_vm vm;
+        vm.vm = vm_id(pool + std::to_string(number));
+        vm.zone = zone_name(number % 2 == 0 ? "a" : "b");
+        vm.rack = rack_name(vm.zone.value() + "1");
+        vm.boot = boot_id("b1");
+        vm.pool = pool_name(pool);
+        listing.vms.push_back(vm);
+        control.set_boot(vm.vm, vm.boot);
+    }
+
+    void take(const record& changed) {
+        fleet.take(changed);
+        if (!changed.key.starts_with(pool_key_prefix)) {
+            return;
+        }
+        const auto pool = parse_pool_record(changed.value).value();
+        const auto is_unavailable = [](const auto& vm) { return vm.second.phase != vm_phase::serving; };
+        if (std::count_if(pool.vms.begin(), pool.vms.end(), is_unavailable) > largest_unavailable) {
+            is_budget_kept = false;
+        }
+    }
+
+    std::vector<heartbeat> heartbeats() {
+        std::vector<heartbeat> result(2);
+        for (std::size_t index = 0; index < result.size(); ++index) {
+            result[index].entry = entry_id("e" + std::to_string(index + 1));
+            result[index].incarnation = incarnation_id("i" + std::to_string(index + 1));
+            result[index].zone = zone_name(index == 0 ? "a" : "b");
+            for (const auto& [pool, stored] : fleet.pools()) {
+                for (const auto& [vm, state] : stored.record.vms) {
+                    if (acknowledges && !state.operation.empty()) {
+                        result[index].drained.push_back({vm, state.operation});
+                    }
+                }
+            }
+            const absl::MutexLock lock(&mutex);
+            for (const vm_id& vm : unreachable) {
+                result[index].observations.push_back({vm, boot_id("b1"), server_condition::unreachable});
+            }
+        }
+        return result;
+    }
+
+    void start() {
+        for (const char* zone : {"a", "b"}) {
+            const std::string member = zone == std::string("a") ? "1" : "2";
+            fleet.take({allotment_key(zone_name(zone)),
+                        R"({"epoch":1,"members":[{"entry":"e)" + member + R"(","incarnation":"i)" + member +
+                            R"(","joined":1,"address":"127.0.0.1:1"}]})",
+                        2});
+        }
+        REQUIRE(fleet.allotments().size() == 2);
+        agent = std::make_unique<maintenance_agent>(self, store, control, records, fleet, observer, metrics,
+                                                    [](const pool_name&) { return true; });
+    }
+
+    // Ends each reboot that was started, as the platform would.
+    void finish_reboots() {
+        for (const reboot_request& request : control.started()) {
+            const absl::MutexLock lock(&mutex);
+            for (listed_vm& vm : listing.vms) {
+                if (vm.vm == request.vm && vm.boot == boot_id("b1")) {
+                    vm.boot = boot_id("b2");
+                    ++listing.index;
+                    control.set_boot(vm.vm, vm.boot);
+                }
+            }
+        }
+    }
+
+    int serving_on(const char* boot) {
+        int count = 0;
+        const absl::MutexLock lock(&mutex);
+        for (const auto& [name, stored] : fleet.pools()) {
+            for (const auto& [vm, state] : stored.record.vms) {
+                const auto listed = std::find_if(listing.vms.begin(), listing.vms.end(),
+                                                 [&](const listed_vm& one) { return one.vm == vm; });
+                count += state.phase == vm_phase::serving && listed->boot == boot_id(boot) ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    bool wave_ends() {
+        return fakes::wait_until(
+            [&] {
+                finish_reboots();
+                return serving_on("b2") == 8;
+            },
+            absl::Seconds(60));
+    }
+};
+
+}  // namespace
+
+// Guards against a wave that stops, repeats a reboot or exceeds the budget when responses are lost or another
+// entry VM writes the same records.
+TEST_CASE_FIXTURE(fixture, "a wave is carried out once and within the budget, whatever calls fail") {
+    std::atomic<int> conflicts = 0;
+    SUBCASE("no fault") {}
+    SUBCASE("lost responses") {
+        store.lose_responses(3);
+        control.lose_responses(2);
+    }
+    SUBCASE("lost requests") {
+        store.lose_requests(3);
+        control.lose_requests(2);
+    }
+    SUBCASE("conflicts") {
+        store.set_hook([&](std::string_view method, std::string_view key) {
+            const std::string name(key);
+            if (method == "compare_and_swap" && !store.value(name).empty() && conflicts < 4) {
+                ++conflicts;
+                store.put(name, store.value(name));
+            }
+        });
+    }
+    start();
+    CHECK(wave_ends());
+    CHECK(control.started().size() == 8);
+    CHECK(is_budget_kept);
+}
+
+// Guards against a reboot under a request: a VM is rebooted only when its zone's entry VMs have drained it.
+TEST_CASE_FIXTURE(fixture, "nothing is rebooted without an acknowledgement") {
+    acknowledges = false;
+    start();
+    const auto reserved = [&] {
+        const auto pools = fleet.pools();
+        const auto pool = pools.find(pool_name("dyeing"));
+        return pool != pools.end() &&
+               std::any_of(pool->second.record.vms.begin(), pool->second.record.vms.end(),
+                           [](const auto& vm) { return vm.second.phase == vm_phase::reserved; });
+    };
+    REQUIRE(fakes::wait_until(reserved));
+    // Two calls that wait for the round in progress, so that at least one more round was possible.
+    static_cast<void>(agent->waves());
+    static_cast<void>(agent->waves());
+    CHECK(control.requests().empty());
+    acknowledges = true;
+    CHECK(wave_ends());
+}
+
+// Guards against new reservations by an entry VM that will not be there to carry them out.
+TEST_CASE_FIXTURE(fixture, "an agent that stops starts nothing new") {
+    start();
+    REQUIRE(fakes::wait_until([&] { return fleet.pools().size() == 3; }));
+    agent->stop();
+    static_cast<void>(agent->waves());
+    const int writes = store.calls("compare_and_swap");
+    agent->start_moves({{vm_id("desk0"), pool_name("desk"), pool_name("dyeing")}});
+    const auto drained = agent->drain(vm_id("desk1"), operation_id("o1"));
+    REQUIRE_FALSE(drained.has_value());
+    CHECK(drained.error().code == operations_error_code::unavailable);
+    CHECK(store.calls("compare_and_swap") == writes);
+}
+
+// Guards against a drain beyond the budget, and against one that an operator repeats.
+TEST_CASE_FIXTURE(fixture, "an operator's drain respects the budget and is idempotent") {
+    acknowledges = false;
+    start();
+    REQUIRE(fakes::wait_until([&] { return fleet.pools().size() == 3; }));
+    const auto first = agent->drain(vm_id("desk0"), operation_id("o1"));
+    REQUIRE(first.has_value());
+    CHECK(first->pool == pool_name("desk"));
+    CHECK(agent->drain(vm_id("desk0"), operation_id("o1")).has_value());
+    // The budget allows one VM of each zone.
+    const auto second = agent->drain(vm_id("desk2"), operation_id("o2"));
+    REQUIRE_FALSE(second.has_value());
+    CHECK(second.error().code == operations_error_code::budget_exhausted);
+    CHECK(agent->drain(vm_id("none"), operation_id("o3")).error().code == operations_error_code::not_found);
+}
+
+// Guards against a VM that counts as failed too early or on the report of one entry VM of another boot.
+TEST_CASE_FIXTURE(fixture, "a VM has failed when all entry VMs of its zone report it for 10 s") {
+    const vm_id vm("dyeing0");
+    const auto observed = [&] { return observer.vms().at(vm); };
+    CHECK(observed().answers);
+    unreachable = {vm};
+    CHECK_FALSE(observed().answers);
+    time.advance(absl::Seconds(9));
+    CHECK_FALSE(observed().probes_failed);
+    time.advance(absl::Seconds(2));
+    CHECK(observed().probes_failed);
+    unreachable.clear();
+    CHECK_FALSE(observed().probes_failed);
+    unreachable = {vm};
+    CHECK_FALSE(observed().probes_failed);
+}
+
+}  // namespace masticpass
