--- a/source/agent/fleet_state.cpp
+++ b/source/agent/fleet_state.cpp
@@ -50,19 +50,26 @@
 }
 
 void fleet_state::take_pool(const record& changed) {
+    tl::expected<pool_record, std::string> parsed;
+    if (!changed.value.empty()) {
+        parsed = parse_pool_record(changed.value);
+        if (!parsed) {
+            reject(changed);
+            return;
+        }
+    }
+    const absl::MutexLock lock(&mutex_);
+    std::uint64_t& taken = pool_revisions_[changed.key];
+    if (changed.revision <= taken) {
+        return;
+    }
+    taken = changed.revision;
     if (changed.value.empty()) {
-        const absl::MutexLock lock(&mutex_);
         auto remaining = std::make_shared<pool_map>(*pools_);
         remaining->erase(pool_name(changed.key.substr(pool_key_prefix.size())));
         pools_ = std::move(remaining);
         return;
     }
-    auto parsed = parse_pool_record(changed.value);
-    if (!parsed) {
-        reject(changed);
-        return;
-    }
-    const absl::MutexLock lock(&mutex_);
     const pool_name pool = parsed->pool;
     auto present = std::make_shared<pool_map>(*pools_);
     (*present)[pool] = {static_cast<std::int64_t>(changed.revision), std::move(*parsed)};
--- a/source/agent/fleet_state.h
+++ b/source/agent/fleet_state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -60,6 +61,9 @@
     std::shared_ptr<const configuration_record> configuration_ ABSL_GUARDED_BY(mutex_);
     // Replaced as a whole, so that readers need no copy.
     std::shared_ptr<const pool_map> pools_ ABSL_GUARDED_BY(mutex_) = std::make_shared<const pool_map>();
+    // The store revision last taken of each pool key, kept after a removal: threads that bring versions of
+    // one record may pass them on in either order.
+    std::map<std::string, std::uint64_t> pool_revisions_ ABSL_GUARDED_BY(mutex_);
     std::map<zone_name, allotment_record> allotments_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -40,6 +40,20 @@
     return forwarded.outcome == verdict::not_run || forwarded.reason == refusal_reason::peer_unreachable;
 }
 
+// Whether a refusal by the issuer's entry VM leaves open if the issuer ran the request when it was sent
+// before: it was not reached, or its HTTP front may have refused before the identity was looked up.
+bool leaves_identity_open(const refusal& refused) {
+    switch (refused.reason) {
+        case refusal_reason::peer_unreachable:
+        case refusal_reason::invalid_request:
+        case refusal_reason::request_too_large:
+        case refusal_reason::deadline_passed:
+            return true;
+        default:
+            return false;
+    }
+}
+
 constexpr absl::Duration retry_after_stop = absl::Seconds(1);
 
 tl::unexpected<refusal> refuse(verdict outcome, refusal_reason reason, std::string message) {
@@ -154,7 +168,7 @@
     }
     parts_.metrics.count({"masticpass_forwards_total", "reason", "issuer"});
     request_result result = parts_.peers.forward(issuer->address, request);
-    if (!result && result.error().reason == refusal_reason::peer_unreachable) {
+    if (!result && leaves_identity_open(result.error())) {
         // The caller may have sent the same request to the issuer before.
         result.error().outcome = verdict::may_have_run;
     }
@@ -333,12 +347,19 @@
             present_services->emplace(service.service, std::move(entry));
         }
         services_ = std::move(present_services);
+        for (const auto& [name, service] : removed) {
+            removed_.push_back(service);
+        }
     }
     for (const auto& [name, service] : removed) {
-        service->shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
+        refuse_removed(*service);
     }
 }
 
+void request_router::refuse_removed(served& service) {
+    service.shard->refuse_queued(refusal_reason::unknown_service, "the service was removed");
+}
+
 void request_router::tick() {
     // Reading the state of each of 181 services takes half a percent of a core at 200 ticks/s.
     if (open_requests_ == 0) {
@@ -348,6 +369,15 @@
     for (const auto& [name, service] : *services) {
         service->shard->tick();
     }
+    std::vector<std::shared_ptr<served>> removed;
+    {
+        const absl::MutexLock lock(&services_mutex_);
+        std::erase_if(removed_, [](const auto& service) { return service.use_count() == 1; });
+        removed = removed_;
+    }
+    for (const auto& service : removed) {
+        refuse_removed(*service);
+    }
 }
 
 void request_router::check_ejected_servers() {
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -107,6 +107,7 @@
                                                                 served& service, const dispatch& work);
     request_description describe(const service_request& request, const served& service);
     std::shared_ptr<const service_table> table() const;
+    static void refuse_removed(served& service);
 
     const router_parts parts_;
     std::atomic<bool> stopping_ = false;
@@ -117,6 +118,8 @@
     // Replaced as a whole, so that readers need no copy.
     std::shared_ptr<const service_table> services_ ABSL_GUARDED_BY(services_mutex_) =
         std::make_shared<const service_table>();
+    // Removed services that still have requests; what these queue again after a failed attempt is refused.
+    std::vector<std::shared_ptr<served>> removed_ ABSL_GUARDED_BY(services_mutex_);
     bool configured_ ABSL_GUARDED_BY(services_mutex_) = false;
     identity_ledger identities_;
 };
