End the suspension of a server by time

Cause: the service table is updated only when its inputs change, so a server that was suspended for a reason that passes, such as a slot taken in between, would stay suspended.

--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -270,8 +270,8 @@
                                                                             const dispatch& work) {
     const auto server = parts_.directory.find(work.instance);
     if (!server || !server->accepts_work() || !parts_.ledger.acquire_slot(work.instance)) {
-        // The shard learns of it only with its next update. Until then, the request would come back to this
-        // server at once and use up the retry budget.
+        // The shard learns of it only when the service table is updated. Until then, the request would come
+        // back to this server at once and use up the retry budget.
         service.shard->suspend(work.instance);
         return tl::unexpected(attempt_failure{
             {verdict::not_run, refusal_reason::no_server, "the server takes no work any more"}});
--- a/source/routing/service_shard.cpp
+++ b/source/routing/service_shard.cpp
@@ -76,18 +76,16 @@
 
 void service_shard::suspend(const vm_id& server) {
     const absl::MutexLock lock(&mutex_);
-    for (instance_capacity& instance : instances_) {
-        if (instance.instance == server) {
-            instance.accepts_work = false;
-        }
-    }
-    apply_instances(clock_.now());
+    const absl::Time now = clock_.now();
+    suspended_until_[server] = now + suspension;
+    apply_instances(now);
 }
 
 void service_shard::apply_instances(absl::Time now) {
     std::vector<instance_capacity> usable = instances_;
     for (instance_capacity& instance : usable) {
-        instance.accepts_work = instance.accepts_work && !health_.is_ejected(instance.instance);
+        instance.accepts_work = instance.accepts_work && !health_.is_ejected(instance.instance) &&
+                                !suspended_until_.contains(instance.instance);
     }
     scheduler_.update_instances(usable, now);
     advance(now);
@@ -129,7 +127,11 @@
 
 void service_shard::tick() {
     const absl::MutexLock lock(&mutex_);
-    if (!waiters_.empty()) {
+    if (!suspended_until_.empty()) {
+        const absl::Time now = clock_.now();
+        absl::erase_if(suspended_until_, [now](const auto& one) { return one.second <= now; });
+        apply_instances(now);
+    } else if (!waiters_.empty()) {
         advance(clock_.now());
     }
 }
--- a/source/routing/service_shard.h
+++ b/source/routing/service_shard.h
@@ -53,8 +53,11 @@
 
     cancel_result cancel(const request_id& id);
     void update_instances(absl::Span<const instance_capacity> instances);
-    // Starts nothing more on the server until the next update_instances, which says what the server accepts.
+    // Starts nothing on the server for `suspension`, for a caller that knows of a change before
+    // update_instances.
     void suspend(const vm_id& server);
+    // Longer than the interval at which the service table is updated.
+    static constexpr absl::Duration suspension = absl::Milliseconds(200);
 
     // Refuses what is queued.
     void refuse_queued(refusal_reason reason, const std::string& message);
@@ -82,8 +85,9 @@
     mutable absl::Mutex mutex_;
     service_scheduler scheduler_ ABSL_GUARDED_BY(mutex_);
     server_health health_ ABSL_GUARDED_BY(mutex_);
-    // As last set, before ejections.
+    // As last set, before ejections and suspensions.
     std::vector<instance_capacity> instances_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<vm_id, absl::Time> suspended_until_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<request_id, std::unique_ptr<waiter>> waiters_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/tests/routing/service_shard_test.cpp
+++ b/tests/routing/service_shard_test.cpp
@@ -11,6 +11,15 @@
 
 namespace {
 
+class manual_clock final : public clock {
+public:
+    absl::Time now() const override { return now_; }
+    void advance(absl::Duration time) { now_ += time; }
+
+private:
+    absl::Time now_ = absl::UnixEpoch();
+};
+
 const std::vector<instance_capacity> one_server = {{vm_id("a"), 1, true}};
 
 request_description make_request(const clock& time_source) {
@@ -27,7 +36,7 @@
 // Guards against a retry that comes back at once, until the retry budget is used up, to a server that takes
 // no work.
 TEST_CASE("a request that is queued again waits while its only server is suspended") {
-    const monotonic_clock time_source;
+    manual_clock time_source;
     service_shard shard({}, time_source);
     shard.update_instances(one_server);
     const auto first = shard.wait_for_slot(make_request(time_source));
@@ -41,7 +50,9 @@
     REQUIRE(shard.load().running == 0);
     REQUIRE(shard.load().queued == 1);
 
-    shard.update_instances(one_server);
+    // The service table is updated only when its inputs change, so the suspension ends without it.
+    time_source.advance(service_shard::suspension);
+    shard.tick();
     const auto second = shard.wait_again(request_id("r"));
     REQUIRE(second.has_value());
     REQUIRE(second->instance == vm_id("a"));
