--- a/measure/overhead_measure.cpp
+++ b/measure/overhead_measure.cpp
@@ -67,13 +67,16 @@
     static_cast<void>(send_paced(through));
     paced_result all_direct;
     paced_result all_through;
+    absl::Duration used = absl::ZeroDuration();
     table rounds(
         {"round", "direct p50", "through p50", "added p50", "direct p99", "through p99", "added p99"});
     for (int round = 0; round < options.rounds; ++round) {
         direct.seed = options.seed * 1000 + static_cast<std::uint64_t>(round) * 2;
         through.seed = direct.seed + 1;
         const paced_result without = send_paced(direct);
+        const process_usage before = processes.entry(0).usage();
         const paced_result with = send_paced(through);
+        used += processes.entry(0).usage().processor_time - before.processor_time;
         const double p50 = percentile(without.latency_ms, 0.5);
         const double p99 = percentile(without.latency_ms, 0.99);
         const double with_p50 = percentile(with.latency_ms, 0.5);
@@ -88,12 +91,17 @@
         all_direct.failed += without.failed;
         all_through.failed += with.failed;
     }
+    const auto requests = static_cast<double>(all_through.latency_ms.size());
     rounds.print("time of a request in ms, by round");
     table total({"measure", "direct", "through entry VM", "added"});
     add_row(total, "from sending", all_direct.latency_ms, all_through.latency_ms);
     add_row(total, "from schedule", all_direct.since_schedule_ms, all_through.since_schedule_ms);
     total.add({"requests", std::to_string(all_direct.latency_ms.size()),
                std::to_string(all_through.latency_ms.size()), ""});
+    total.add({"processor us/request", "",
+               absl::StrFormat("%.0f", absl::ToDoubleMicroseconds(used) / requests), ""});
+    total.add({"memory MB", "",
+               absl::StrFormat("%.1f", processes.entry(0).usage().resident_kilobytes / 1024.0), ""});
     total.add({"failed", std::to_string(all_direct.failed), std::to_string(all_through.failed), ""});
     total.print(absl::StrFormat(
         "all rounds, %.0f requests/s over %d connections, ms (goal: at most 0.3 p50, 1 p99 added)",
