--- /dev/null
+++ b/source/application/entry_parts.h
@@ -0,0 +1,113 @@
+#ifndef MASTICPASS_APPLICATION_ENTRY_PARTS_H
+#define MASTICPASS_APPLICATION_ENTRY_PARTS_H
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <absl/random/random.h>
+
+#include "agent/allotment_agent.h"
+#include "agent/configuration_agent.h"
+#include "agent/fleet_observer.h"
+#include "agent/fleet_state.h"
+#include "agent/maintenance_agent.h"
+#include "agent/membership_agent.h"
+#include "agent/metrics_retry_counter.h"
+#include "agent/placement_agent.h"
+#include "agent/probe_agent.h"
+#include "agent/record_cache.h"
+#include "agent/registration_agent.h"
+#include "agent/service_table_agent.h"
+#include "agent/store_watcher.h"
+#include "agent/vm_list_agent.h"
+#include "application/entry_fleet_service.h"
+#include "backend/http_backend_client.h"
+#include "caller/caller_server.h"
+#include "operations/operations_server.h"
+#include "peer/http_peer_client.h"
+#include "peer/peer_server.h"
+#include "platform/etcd_gateway_store.h"
+#include "platform/http_vm_control.h"
+#include "platform/http_vm_list.h"
+#include "platform/namespaced_store.h"
+#include "routing/request_router.h"
+#include "status/status_server.h"
+
+namespace masticpass {
+
+// All packages of one entry VM and what connects them. The members are constructed in the order of their
+// dependencies and destroyed in reverse. Ownership: owns everything; the entry VM owns it. Thread safety:
+// construct, `start_agents`, `stop_agents` and `hand_over_identities` on one thread; the other methods are
+// called from the threads of agents and servers.
+struct entry_parts {
+    explicit entry_parts(const settings& used);
+
+    fleet_sources observer_sources();
+    void start_agents();
+    void stop_agents();
+    void take_record(const record& changed);
+    // The store revision up to which all records were seen; 0 if there is none.
+    std::uint64_t complete_revision() const;
+    bool has_fresh_pools() const;
+    heartbeat own_heartbeat();
+    std::vector<heartbeat> all_heartbeats();
+    void receive(const heartbeat& beat);
+    bool is_gone(const allotment_member& member) const;
+    bool is_own_pool(const pool_name& pool) const;
+    std::set<vm_id> own_probes(const std::vector<server_state>& servers) const;
+    void housekeep();
+    void hand_over_identities();
+    health_state health() const;
+    std::vector<server_observation> observations() const;
+
+    const settings configured;
+    const incarnation_id self;
+    const monotonic_clock time_source;
+    metrics_registry metrics;
+    record_cache records;
+    fleet_state fleet;
+    etcd_gateway_store gateway;
+    namespaced_store store;
+    http_vm_list vm_listing_client;
+    http_vm_control control;
+    server_directory directory;
+    slot_ledger ledger;
+    http_backend_client backends;
+    http_peer_client peers;
+    forwarding forwards;
+    request_router router;
+    metrics_retry_counter retries;
+    // One for each agent, since an observer serves one thread.
+    fleet_observer observer;
+    fleet_observer placement_observer;
+    std::atomic<bool> stopping = false;
+    // The highest store revision that the watcher handed out.
+    std::atomic<std::uint64_t> watched_revision = 0;
+
+    absl::BitGen watcher_random;
+    absl::BitGen registration_random;
+    std::unique_ptr<membership_agent> membership;
+    std::unique_ptr<vm_list_agent> listed;
+    std::unique_ptr<store_watcher> watcher;
+    std::unique_ptr<registration_agent> registration;
+    std::unique_ptr<allotment_agent> allotment;
+    std::unique_ptr<service_table_agent> service_table;
+    std::unique_ptr<probe_agent> probes;
+    std::unique_ptr<maintenance_agent> maintenance;
+    std::unique_ptr<placement_agent> placement;
+    std::unique_ptr<configuration_agent> changes;
+    std::unique_ptr<entry_fleet_service> operator_calls;
+    std::unique_ptr<periodic_thread> ticker;
+    std::unique_ptr<periodic_thread> housekeeper;
+    std::unique_ptr<caller_server> callers;
+    std::unique_ptr<peer_server> peer_front;
+    std::unique_ptr<operations_server> operators;
+    std::unique_ptr<status_server> status;
+};
+
+}  // namespace masticpass
+
+#endif
--- a/source/application/entry_vm.h
+++ b/source/application/entry_vm.h
@@ -10,6 +10,8 @@
 
 namespace masticpass {
 
+struct entry_parts;
+
 // One entry VM: all packages, composed from the settings.
 // Ownership: owns all its servers, agents and connections.
 // Thread safety: all methods on one thread.
@@ -28,11 +30,9 @@
     void stop();
 
 private:
-    struct state;
-
-    explicit entry_vm(std::unique_ptr<state> owned);
+    explicit entry_vm(std::unique_ptr<entry_parts> owned);
 
-    std::unique_ptr<state> state_;
+    std::unique_ptr<entry_parts> parts_;
 };
 
 // Runs an entry VM until SIGTERM or SIGINT. Returns the exit code of the process.
