--- a/measure/support/child_process.cpp
+++ b/measure/support/child_process.cpp
@@ -38,6 +38,7 @@
                                                     const std::string& log_file) {
     std::vector<std::string> copies = arguments;
     std::vector<char*> pointers;
+    pointers.reserve(copies.size() + 1);
     for (std::string& copy : copies) {
         pointers.push_back(copy.data());
     }
--- a/measure/support/configuration_spread.cpp
+++ b/measure/support/configuration_spread.cpp
@@ -34,6 +34,7 @@
     std::vector<absl::Time> reached(static_cast<std::size_t>(processes.entry_count()),
                                     absl::InfiniteFuture());
     std::vector<std::thread> threads;
+    threads.reserve(reached.size());
     for (int entry = 0; entry < processes.entry_count(); ++entry) {
         threads.emplace_back([&, entry] {
             while (absl::Now() < end) {
--- a/measure/support/request_pacer.cpp
+++ b/measure/support/request_pacer.cpp
@@ -48,6 +48,7 @@
     const absl::Time start = absl::Now() + absl::Milliseconds(50);
     std::vector<paced_result> shares(static_cast<std::size_t>(plan.connections));
     std::vector<std::thread> threads;
+    threads.reserve(shares.size());
     for (int connection = 0; connection < plan.connections; ++connection) {
         threads.emplace_back([&, connection] {
             shares[static_cast<std::size_t>(connection)] = send_share(plan, start, connection);
--- a/source/telemetry/metrics.h
+++ b/source/telemetry/metrics.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -20,7 +21,11 @@
     std::string label;
     std::string label_value;
 
-    friend auto operator<=>(const metric_name&, const metric_name&) = default;
+    friend bool operator==(const metric_name&, const metric_name&) = default;
+    friend bool operator<(const metric_name& left, const metric_name& right) {
+        return std::tie(left.name, left.label, left.label_value) <
+               std::tie(right.name, right.label, right.label_value);
+    }
 };
 
 // Counters, gauges and duration histograms of one process, readable in the Prometheus text format.
--- a/tests/telemetry/metrics_test.cpp
+++ b/tests/telemetry/metrics_test.cpp
@@ -11,8 +11,10 @@
 TEST_CASE("concurrent counts add up") {
     metrics_registry metrics;
     const metric_name name{"masticpass_refusals_total", "reason", "stopping"};
+    constexpr int thread_count = 4;
     std::vector<std::thread> threads;
-    for (int index = 0; index < 4; ++index) {
+    threads.reserve(thread_count);
+    for (int index = 0; index < thread_count; ++index) {
         threads.emplace_back([&] {
             for (int step = 0; step < 1000; ++step) {
                 metrics.count(name);
