Read the closing flag before the response in the connection reuse test

The test "a good connection is reused, a closed, old or silent one is not" failed once under the thread sanitizer. Its stand-in server decided whether to close after it had sent the response, while the test sets the flag as soon as it has that response. So the server could close the connection after the second request instead of the third, and the third request, sent on that connection, ended as connection lost. The client was ruled out: its verdict was right for a connection that the server closes while it carries a request.

--- a/tests/backend/http_backend_client_test.cpp
+++ b/tests/backend/http_backend_client_test.cpp
@@ -217,8 +217,10 @@
         if (link.number() == silent_connection) {
             return;
         }
+        // Read before the response is sent: the test changes it as soon as it has the response.
+        const bool closes_after = closes;
         answer(link, request);
-        if (closes) {
+        if (closes_after) {
             link.close();
         }
     });
