Remove repeated look-ups from the transitions and a second HTTP client set-up

change_vm, set_operation and set_old_boot replace the blocks that each transition of a pool record repeated. The connections to the platform use create_http_client, which also keeps SO_REUSEPORT off client sockets. No change of behaviour: tests of decision/maintenance (with the random schedules), platform and http pass.

--- a/source/decision/maintenance/move_step.cpp
+++ b/source/decision/maintenance/move_step.cpp
@@ -38,10 +38,7 @@
     }
     pool_record changed = source;
     pool_vm& entry = changed.vms.at(vm);
-    entry.phase = vm_phase::moving_out;
-    entry.since = context.now;
-    entry.operation = context.operation;
-    entry.actor = context.actor;
+    set_operation(entry, vm_phase::moving_out, context);
     entry.other_pool = target;
     int staying = 0;
     for (const auto& [id, other] : changed.vms) {
@@ -58,16 +55,13 @@
 
 transition_result cancel_move(const pool_record& source, const vm_id& vm, const operation_id& operation,
                               absl::Time now) {
-    if (auto error = check_phase(source, vm, {vm_phase::moving_out})) {
-        return tl::unexpected(*std::move(error));
-    }
-    pool_record changed = source;
-    pool_vm& entry = changed.vms.at(vm);
-    if (entry.operation != operation) {
-        return refuse(transition_error_kind::wrong_operation, vm, "moved by another operation");
-    }
-    set_serving(entry, now);
-    return changed;
+    return change_vm(source, vm, {vm_phase::moving_out}, [&](pool_vm& entry) -> change_result {
+        if (entry.operation != operation) {
+            return refuse(transition_error_kind::wrong_operation, vm, "moved by another operation");
+        }
+        set_serving(entry, now);
+        return {};
+    });
 }
 
 transition_result note_incoming(const pool_record& target, const vm_id& vm, const stored_pool_record& source,
@@ -115,26 +109,21 @@
 
 transition_result begin_incoming(const pool_record& target, const vm_id& vm, const pool_record& source,
                                  const boot_evidence& present, const incarnation_id& actor, absl::Time now) {
-    if (auto error = check_phase(target, vm, {vm_phase::incoming})) {
-        return tl::unexpected(*std::move(error));
-    }
-    const pool_vm& note = target.vms.at(vm);
-    // That the source no longer lists the VM does not suffice: it may have given it to a third pool later.
-    if (source.pool != note.other_pool || !has_departed(source, vm, target.pool, note.operation)) {
-        return refuse(transition_error_kind::not_owner, vm, "the source has not handed it over in this move");
-    }
-    if (present.boot.empty()) {
-        return refuse(transition_error_kind::stale_evidence, vm, "boot identity unknown");
-    }
-    pool_record changed = target;
-    pool_vm& entry = changed.vms.at(vm);
-    entry.phase = vm_phase::acting;
-    entry.joining = true;
-    entry.since = now;
-    entry.actor = actor;
-    entry.old_boot = present.boot;
-    entry.old_boot_index = present.list_index;
-    return changed;
+    return change_vm(target, vm, {vm_phase::incoming}, [&](pool_vm& entry) -> change_result {
+        // That the source no longer lists the VM does not suffice: it may have given it to a third pool
+        // later.
+        if (source.pool != entry.other_pool || !has_departed(source, vm, target.pool, entry.operation)) {
+            return refuse(transition_error_kind::not_owner, vm,
+                          "the source has not handed it over in this move");
+        }
+        if (present.boot.empty()) {
+            return refuse(transition_error_kind::stale_evidence, vm, "boot identity unknown");
+        }
+        set_operation(entry, vm_phase::acting, {entry.operation, actor, now});
+        entry.joining = true;
+        set_old_boot(entry, present);
+        return {};
+    });
 }
 
 transition_result drop_incoming(const pool_record& target, const vm_id& vm,
@@ -188,28 +177,23 @@
     pool_vm& entry = changed.vms[vm];
     entry.zone = zone;
     entry.rack = rack;
-    entry.phase = vm_phase::incoming;
-    entry.since = context.now;
     entry.maintained_at = maintenance_time(record, context.now);
-    entry.operation = context.operation;
-    entry.actor = context.actor;
+    set_operation(entry, vm_phase::incoming, context);
     return changed;
 }
 
 transition_result complete_admission(const pool_record& record, const vm_id& vm, const boot_evidence& seen,
                                      absl::Time now) {
-    if (auto error = check_phase(record, vm, {vm_phase::incoming})) {
-        return tl::unexpected(*std::move(error));
-    }
-    if (!record.vms.at(vm).other_pool.empty()) {
-        return refuse(transition_error_kind::wrong_phase, vm, "comes from another pool");
-    }
-    if (seen.boot.empty() || seen.role != record.pool) {
-        return refuse(transition_error_kind::stale_evidence, vm, "does not serve in this role");
-    }
-    pool_record changed = record;
-    set_serving(changed.vms.at(vm), now);
-    return changed;
+    return change_vm(record, vm, {vm_phase::incoming}, [&](pool_vm& entry) -> change_result {
+        if (!entry.other_pool.empty()) {
+            return refuse(transition_error_kind::wrong_phase, vm, "comes from another pool");
+        }
+        if (seen.boot.empty() || seen.role != record.pool) {
+            return refuse(transition_error_kind::stale_evidence, vm, "does not serve in this role");
+        }
+        set_serving(entry, now);
+        return {};
+    });
 }
 
 std::optional<pool_name> owner_of(const vm_id& vm, const std::map<pool_name, stored_pool_record>& all) {
--- a/source/decision/maintenance/transition.cpp
+++ b/source/decision/maintenance/transition.cpp
@@ -28,6 +28,30 @@
     return std::nullopt;
 }
 
+transition_result change_vm(const pool_record& record, const vm_id& vm,
+                            std::initializer_list<vm_phase> phases, vm_change change) {
+    if (auto error = check_phase(record, vm, phases)) {
+        return tl::unexpected(*std::move(error));
+    }
+    pool_record changed = record;
+    if (auto result = change(changed.vms.at(vm)); !result) {
+        return tl::unexpected(std::move(result.error()));
+    }
+    return changed;
+}
+
+void set_operation(pool_vm& vm, vm_phase phase, const operation_context& context) {
+    vm.phase = phase;
+    vm.since = context.now;
+    vm.operation = context.operation;
+    vm.actor = context.actor;
+}
+
+void set_old_boot(pool_vm& vm, const boot_evidence& present) {
+    vm.old_boot = present.boot;
+    vm.old_boot_index = present.list_index;
+}
+
 std::optional<transition_error> check_budget(const pool_record& record, const vm_id& vm,
                                              const pool_limits& limits, const unavailable_vms& observed) {
     const unavailability counts(record, observed, limits.minimum_vms);
@@ -57,20 +81,38 @@
     return now;
 }
 
+namespace {
+
+void set_failed(pool_vm& vm, const boot_evidence& last_seen, absl::Time now) {
+    set_serving(vm, now);
+    vm.phase = vm_phase::failed;
+    set_old_boot(vm, last_seen);
+}
+
+// A VM that had failed before it was reserved is still failed.
+void set_withdrawn(pool_vm& vm, absl::Time now) {
+    const boot_evidence failed_boot{vm.old_boot, {}, vm.old_boot_index};
+    if (failed_boot.boot.empty()) {
+        set_serving(vm, now);
+        return;
+    }
+    set_failed(vm, failed_boot, now);
+}
+
+}  // namespace
+
 transition_result reserve(const pool_record& record, const vm_id& vm, const wave_name& wave,
                           const operation_context& context, const pool_limits& limits,
                           const unavailable_vms& observed) {
-    if (auto error = check_phase(record, vm, {vm_phase::serving})) {
-        return tl::unexpected(*std::move(error));
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    entry.phase = vm_phase::reserved;
-    entry.since = context.now;
-    entry.operation = context.operation;
-    entry.actor = context.actor;
-    entry.wave = wave;
-    if (auto error = check_budget(changed, vm, limits, observed)) {
+    auto changed = change_vm(record, vm, {vm_phase::serving}, [&](pool_vm& entry) {
+        set_operation(entry, vm_phase::reserved, context);
+        entry.wave = wave;
+        return change_result();
+    });
+    if (!changed) {
+        return changed;
+    }
+    if (auto error = check_budget(*changed, vm, limits, observed)) {
         return tl::unexpected(*std::move(error));
     }
     return changed;
@@ -79,121 +121,88 @@
 transition_result begin_action(const pool_record& record, const vm_id& vm, const operation_context& context,
                                const boot_evidence& present, const pool_limits& limits,
                                const unavailable_vms& observed) {
-    if (auto error = check_phase(record, vm, {vm_phase::reserved})) {
-        return tl::unexpected(*std::move(error));
-    }
-    const pool_vm& reserved = record.vms.at(vm);
-    if (reserved.operation != context.operation) {
-        return refuse(transition_error_kind::wrong_operation, vm, "reserved by another operation");
-    }
-    if (present.boot.empty()) {
-        return refuse(transition_error_kind::stale_evidence, vm, "boot identity unknown");
-    }
-    const bool was_failed = !reserved.old_boot.empty();
-    if (!was_failed) {
-        if (auto error = check_budget(record, vm, limits, observed)) {
-            return tl::unexpected(*std::move(error));
+    return change_vm(record, vm, {vm_phase::reserved}, [&](pool_vm& entry) -> change_result {
+        if (entry.operation != context.operation) {
+            return refuse(transition_error_kind::wrong_operation, vm, "reserved by another operation");
         }
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    entry.phase = vm_phase::acting;
-    entry.since = context.now;
-    entry.actor = context.actor;
-    entry.old_boot = present.boot;
-    entry.old_boot_index = present.list_index;
-    return changed;
+        if (present.boot.empty()) {
+            return refuse(transition_error_kind::stale_evidence, vm, "boot identity unknown");
+        }
+        const bool was_failed = !entry.old_boot.empty();
+        if (!was_failed) {
+            if (auto error = check_budget(record, vm, limits, observed)) {
+                return tl::unexpected(*std::move(error));
+            }
+        }
+        set_operation(entry, vm_phase::acting, context);
+        set_old_boot(entry, present);
+        return {};
+    });
 }
 
 transition_result release(const pool_record& record, const vm_id& vm, const boot_evidence& seen,
                           absl::Time now) {
-    if (auto error = check_phase(record, vm, {vm_phase::acting})) {
-        return tl::unexpected(*std::move(error));
-    }
-    if (!is_newer_boot(record.vms.at(vm), seen)) {
-        return refuse(transition_error_kind::stale_evidence, vm, "no newer boot identity seen");
-    }
-    if (seen.role != record.pool) {
-        return refuse(transition_error_kind::stale_evidence, vm, "serves in another role");
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    set_serving(entry, now);
-    entry.maintained_at = maintenance_time(record, now);
-    return changed;
+    return change_vm(record, vm, {vm_phase::acting}, [&](pool_vm& entry) -> change_result {
+        if (!is_newer_boot(entry, seen)) {
+            return refuse(transition_error_kind::stale_evidence, vm, "no newer boot identity seen");
+        }
+        if (seen.role != record.pool) {
+            return refuse(transition_error_kind::stale_evidence, vm, "serves in another role");
+        }
+        set_serving(entry, now);
+        entry.maintained_at = maintenance_time(record, now);
+        return {};
+    });
 }
 
 transition_result renew_action(const pool_record& record, const vm_id& vm, const boot_evidence& seen) {
-    if (auto error = check_phase(record, vm, {vm_phase::acting})) {
-        return tl::unexpected(*std::move(error));
-    }
-    if (!is_newer_boot(record.vms.at(vm), seen) || seen.role == record.pool) {
-        return refuse(transition_error_kind::stale_evidence, vm, "no newer boot identity in another role");
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    entry.old_boot = seen.boot;
-    entry.old_boot_index = seen.list_index;
-    return changed;
+    return change_vm(record, vm, {vm_phase::acting}, [&](pool_vm& entry) -> change_result {
+        if (!is_newer_boot(entry, seen) || seen.role == record.pool) {
+            return refuse(transition_error_kind::stale_evidence, vm,
+                          "no newer boot identity in another role");
+        }
+        set_old_boot(entry, seen);
+        return {};
+    });
 }
 
 transition_result restart_failed(const pool_record& record, const vm_id& vm,
                                  const operation_context& context) {
-    if (auto error = check_phase(record, vm, {vm_phase::failed})) {
-        return tl::unexpected(*std::move(error));
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    entry.phase = vm_phase::reserved;
-    entry.since = context.now;
-    entry.operation = context.operation;
-    entry.actor = context.actor;
-    return changed;
+    return change_vm(record, vm, {vm_phase::failed}, [&](pool_vm& entry) {
+        set_operation(entry, vm_phase::reserved, context);
+        return change_result();
+    });
 }
 
 transition_result withdraw(const pool_record& record, const vm_id& vm, const operation_id& operation,
                            absl::Time now) {
-    if (auto error = check_phase(record, vm, {vm_phase::reserved})) {
-        return tl::unexpected(*std::move(error));
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    if (entry.operation != operation) {
-        return refuse(transition_error_kind::wrong_operation, vm, "reserved by another operation");
-    }
-    const boot_evidence failed_boot{entry.old_boot, record.pool, entry.old_boot_index};
-    if (!failed_boot.boot.empty()) {
-        return mark_failed(record, vm, failed_boot, now);
-    }
-    set_serving(entry, now);
-    return changed;
+    return change_vm(record, vm, {vm_phase::reserved}, [&](pool_vm& entry) -> change_result {
+        if (entry.operation != operation) {
+            return refuse(transition_error_kind::wrong_operation, vm, "reserved by another operation");
+        }
+        set_withdrawn(entry, now);
+        return {};
+    });
 }
 
 transition_result mark_failed(const pool_record& record, const vm_id& vm, const boot_evidence& last_seen,
                               absl::Time now) {
-    if (auto error = check_phase(record, vm, {vm_phase::serving, vm_phase::reserved})) {
-        return tl::unexpected(*std::move(error));
-    }
-    pool_record changed = record;
-    pool_vm& entry = changed.vms.at(vm);
-    set_serving(entry, now);
-    entry.phase = vm_phase::failed;
-    entry.old_boot = last_seen.boot;
-    entry.old_boot_index = last_seen.list_index;
-    return changed;
+    return change_vm(record, vm, {vm_phase::serving, vm_phase::reserved}, [&](pool_vm& entry) {
+        set_failed(entry, last_seen, now);
+        return change_result();
+    });
 }
 
 transition_result recover(const pool_record& record, const vm_id& vm, const boot_evidence& seen,
                           absl::Time now) {
-    if (auto error = check_phase(record, vm, {vm_phase::failed})) {
-        return tl::unexpected(*std::move(error));
-    }
-    if (!is_newer_boot(record.vms.at(vm), seen) || seen.role != record.pool) {
-        return refuse(transition_error_kind::stale_evidence, vm, "no newer boot identity in this role seen");
-    }
-    pool_record changed = record;
-    set_serving(changed.vms.at(vm), now);
-    return changed;
+    return change_vm(record, vm, {vm_phase::failed}, [&](pool_vm& entry) -> change_result {
+        if (!is_newer_boot(entry, seen) || seen.role != record.pool) {
+            return refuse(transition_error_kind::stale_evidence, vm,
+                          "no newer boot identity in this role seen");
+        }
+        set_serving(entry, now);
+        return {};
+    });
 }
 
 transition_result remove_terminated(const pool_record& record, const vm_id& vm) {
--- a/source/decision/maintenance/transition_support.h
+++ b/source/decision/maintenance/transition_support.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include <absl/functional/function_ref.h>
+
 #include "decision/maintenance/transition.h"
 
 namespace masticpass {
@@ -18,6 +20,21 @@
 std::optional<transition_error> check_phase(const pool_record& record, const vm_id& vm,
                                             std::initializer_list<vm_phase> phases);
 
+// Changes the entry of a VM; an error refuses the transition as a whole.
+using change_result = tl::expected<void, transition_error>;
+using vm_change = absl::FunctionRef<change_result(pool_vm& entry)>;
+
+// A copy of the record in which `change` was applied to the VM's entry. Refused if the VM is not in one of
+// the phases.
+transition_result change_vm(const pool_record& record, const vm_id& vm,
+                            std::initializer_list<vm_phase> phases, vm_change change);
+
+// Puts the VM in `phase` for the operation.
+void set_operation(pool_vm& vm, vm_phase phase, const operation_context& context);
+
+// Notes the boot identity that must be followed by a newer one.
+void set_old_boot(pool_vm& vm, const boot_evidence& present);
+
 // The reason why the budget does not hold in this record; nullopt if it holds.
 std::optional<transition_error> check_budget(const pool_record& record, const vm_id& vm,
                                              const pool_limits& limits, const unavailable_vms& observed);
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -2,10 +2,14 @@
 
 namespace masticpass {
 
-std::unique_ptr<httplib::Client> create_http_client(const std::string& ip, std::uint16_t port,
-                                                    const http_client_options& options) {
-    auto client = std::make_unique<httplib::Client>(ip, port);
+namespace {
+
+std::unique_ptr<httplib::Client> with_options(std::unique_ptr<httplib::Client> client,
+                                              const http_client_options& options) {
+    // Without it a small request waits for a delayed acknowledgement.
     client->set_tcp_nodelay(true);
+    // The library's default options set SO_REUSEPORT.
+    client->set_socket_options([](socket_t) {});
     client->set_keep_alive(options.keep_alive);
     client->set_connection_timeout(absl::ToChronoMicroseconds(options.connect_limit));
     client->set_read_timeout(absl::ToChronoMicroseconds(options.read_limit));
@@ -16,4 +20,16 @@
     return client;
 }
 
+}  // namespace
+
+std::unique_ptr<httplib::Client> create_http_client(const std::string& ip, std::uint16_t port,
+                                                    const http_client_options& options) {
+    return with_options(std::make_unique<httplib::Client>(ip, port), options);
+}
+
+std::unique_ptr<httplib::Client> create_http_client(const std::string& address,
+                                                    const http_client_options& options) {
+    return with_options(std::make_unique<httplib::Client>("http://" + address), options);
+}
+
 }  // namespace masticpass
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -24,6 +24,10 @@
 std::unique_ptr<httplib::Client> create_http_client(const std::string& ip, std::uint16_t port,
                                                     const http_client_options& options);
 
+// The same for an address of the form "10.0.3.7:9000".
+std::unique_ptr<httplib::Client> create_http_client(const std::string& address,
+                                                    const http_client_options& options);
+
 }  // namespace masticpass
 
 #endif
--- a/source/platform/http_exchange.cpp
+++ b/source/platform/http_exchange.cpp
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include "common/clock.h"
+#include "http/client.h"
 
 namespace masticpass {
 
@@ -42,9 +43,11 @@
 http_exchange::~http_exchange() = default;
 
 std::unique_ptr<httplib::Client> http_exchange::make_client() const {
-    auto client = std::make_unique<httplib::Client>("http://" + address_);
-    apply_connection_settings(*client, limits_);
-    return client;
+    http_client_options options;
+    options.connect_limit = limits_.connect_limit;
+    options.read_limit = limits_.call_limit;
+    options.write_limit = limits_.call_limit;
+    return create_http_client(address_, options);
 }
 
 std::unique_ptr<httplib::Client> http_exchange::take_client() {
--- a/source/platform/http_exchange.h
+++ b/source/platform/http_exchange.h
@@ -13,7 +13,7 @@
 #include <absl/time/time.h>
 #include <tl/expected.hpp>
 
-#include "platform/http_connection_settings.h"
+#include "platform/platform_limits.h"
 
 namespace httplib {
 class Client;
--- a/source/platform/http_connection_settings.h
+++ b/source/platform/platform_limits.h
@@ -1,14 +1,10 @@
-#ifndef MASTICPASS_PLATFORM_HTTP_CONNECTION_SETTINGS_H
-#define MASTICPASS_PLATFORM_HTTP_CONNECTION_SETTINGS_H
+#ifndef MASTICPASS_PLATFORM_PLATFORM_LIMITS_H
+#define MASTICPASS_PLATFORM_PLATFORM_LIMITS_H
 
 #include <cstddef>
 
 #include <absl/time/time.h>
 
-namespace httplib {
-class Client;
-}
-
 namespace masticpass {
 
 // Limits of a connection to the platform.
@@ -23,9 +19,6 @@
     std::size_t maximum_response_bytes = std::size_t{16} << 20U;
 };
 
-// Sets the time limits and socket options of a client.
-void apply_connection_settings(httplib::Client& client, const platform_limits& limits);
-
 }  // namespace masticpass
 
 #endif
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -6,7 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "platform/etcd_messages.h"
-#include "platform/http_connection_settings.h"
+#include "platform/platform_limits.h"
 #include "standin/platform_server.h"
 
 namespace masticpass {
