Send the changes of service loads since the update that the peer holds

If the end that answered the last exchange of a pair starts the next one, it does not know yet whether its answer arrived, and load_exchange sent the whole list.

An update now carries every load that changed after the last update that the peer has stated to hold, so the peer can apply it to that one and to any later one. A service that is removed leads to the whole list until the peer holds an update without it.

The test "a lost heartbeat is followed by the whole list" required the whole list as the means to repair the loss. Its replacement requires that the change of the lost heartbeat is sent again, that the receiver has all values, and that it is not sent once more after the peer holds it.

--- a/source/peer/load_exchange.cpp
+++ b/source/peer/load_exchange.cpp
@@ -1,31 +1,34 @@
 #include "peer/load_exchange.h"
 
-#include <algorithm>
-#include <utility>
+#include <set>
 
 namespace masticpass {
 
 void load_exchange::reduce(const std::string& address, heartbeat& own) {
-    load_map present;
-    for (const service_load& load : own.services) {
-        present.emplace(load.service, load);
-    }
     const absl::MutexLock lock(&mutex_);
     peer_state& peer = peers_[address];
     own.loads_received = peer.received_number;
-    const bool lost_service = std::any_of(peer.sent.begin(), peer.sent.end(),
-                                          [&](const auto& known) { return !present.contains(known.first); });
-    const bool peer_holds_last = peer.sent_number > 0 && peer.held_by_peer == peer.sent_number;
-    own.loads_base = 0;
-    if (peer_holds_last && !lost_service) {
-        own.loads_base = peer.sent_number;
+    own.loads_number = ++peer.sent_number;
+    for (const service_load& load : own.services) {
+        const auto [known, is_new] = peer.sent.try_emplace(load.service, sent_load{load, own.loads_number});
+        if (!is_new && known->second.load != load) {
+            known->second = {load, own.loads_number};
+        }
+    }
+    if (peer.sent.size() > own.services.size()) {
+        std::set<service_name> present;
+        for (const service_load& load : own.services) {
+            present.insert(load.service);
+        }
+        std::erase_if(peer.sent, [&](const auto& known) { return !present.contains(known.first); });
+        peer.removed = own.loads_number;
+    }
+    own.loads_base = peer.held_by_peer >= peer.removed ? peer.held_by_peer : 0;
+    if (own.loads_base > 0) {
         std::erase_if(own.services, [&](const service_load& load) {
-            const auto known = peer.sent.find(load.service);
-            return known != peer.sent.end() && known->second == load;
+            return peer.sent.at(load.service).changed <= own.loads_base;
         });
     }
-    own.loads_number = ++peer.sent_number;
-    peer.sent = std::move(present);
 }
 
 void load_exchange::complete(heartbeat& received) {
@@ -39,7 +42,7 @@
     peer.held_by_peer = received.loads_received;
     const bool is_newer = received.loads_number > peer.received_number;
     const bool is_whole = received.loads_base == 0;
-    if (is_newer && (is_whole || received.loads_base == peer.received_number)) {
+    if (is_newer && (is_whole || received.loads_base <= peer.received_number)) {
         if (is_whole) {
             peer.received.clear();
         }
--- a/source/peer/load_exchange.h
+++ b/source/peer/load_exchange.h
@@ -16,9 +16,10 @@
 // Reduces the service loads of heartbeats to those that changed. With 181 services the whole list is 13 KB,
 // and sent to every peer each second it exceeds the bytes that control may use. Each peer has a numbered
 // sequence of updates. A heartbeat states the number of its update, the update that it changes (0 for the
-// whole list), and the last update received from the peer. Changes are only sent if the peer has stated that
-// it holds the update before, so that a lost heartbeat is followed by the whole list. Thread safety: all
-// methods may be called from any thread.
+// whole list), and the last update received from the peer. It carries every load that changed after the last
+// update that the peer has stated to hold, so the peer can apply it to that update and to any later one. The
+// end that answered the last exchange and starts the next one does not know whether its answer arrived; it
+// need not send the whole list then. Thread safety: all methods may be called from any thread.
 class load_exchange {
 public:
     // Leaves in a heartbeat to the peer at the address only what the peer does not hold.
@@ -30,9 +31,18 @@
 private:
     using load_map = std::map<service_name, service_load>;
 
+    struct sent_load {
+        service_load load;
+        // The update in which it last changed.
+        std::uint64_t changed = 0;
+    };
+
     struct peer_state {
         incarnation_id incarnation;
-        load_map sent;
+        std::map<service_name, sent_load> sent;
+        // The update in which a service was last removed. Updates do not name removed services, so a peer
+        // that holds an earlier one needs the whole list.
+        std::uint64_t removed = 0;
         std::uint64_t sent_number = 0;
         // The last update that the peer stated to hold.
         std::uint64_t held_by_peer = 0;
