Close the connection of each call between entry VMs

The server library (cpp-httplib 0.11.4) polls each idle connection that is kept open, with a wait of 10 ms. An entry VM that answers exchanges pays for one such thread for each peer.

JSON-RPC calls to a peer use a connection of their own and close it. Forwarded requests keep their connections.

--- a/source/peer/http_peer_client.cpp
+++ b/source/peer/http_peer_client.cpp
@@ -60,12 +60,26 @@
     return response;
 }
 
+tl::expected<httplib::Response, exchange_error> http_peer_client::exchange_once(const std::string& address,
+                                                                                exchange_request request) {
+    const auto link = connection::create(address, limits_);
+    if (!link) {
+        return tl::unexpected(exchange_error::not_sent);
+    }
+    request.headers.emplace("Connection", "close");
+    auto response = (*link)->exchange(request);
+    if (!response) {
+        pool_.discard(address);
+    }
+    return response;
+}
+
 tl::expected<Json::Value, peer_error> http_peer_client::call(const std::string& address,
                                                              const std::string& method,
                                                              const Json::Value& parameters) {
     peer_error failure = peer_error::no_answer;
     const json_rpc_transport transport = [&](const std::string& request, std::string& answer) {
-        const auto response = exchange(address, post("/rpc", request, call_time_limit_));
+        const auto response = exchange_once(address, post("/rpc", request, call_time_limit_));
         if (!response) {
             failure =
                 response.error() == exchange_error::not_sent ? peer_error::refused : peer_error::no_answer;
--- a/source/peer/http_peer_client.h
+++ b/source/peer/http_peer_client.h
@@ -33,6 +33,10 @@
 private:
     tl::expected<httplib::Response, exchange_error> exchange(const std::string& address,
                                                              const exchange_request& request);
+    // Uses a connection of its own and closes it. The server library polls an idle connection about 90 times
+    // a second, which costs more than the one connection a second that an exchange of heartbeats opens.
+    tl::expected<httplib::Response, exchange_error> exchange_once(const std::string& address,
+                                                                  exchange_request request);
     tl::expected<Json::Value, peer_error> call(const std::string& address, const std::string& method,
                                                const Json::Value& parameters);
 
--- a/tests/peer/peer_server_test.cpp
+++ b/tests/peer/peer_server_test.cpp
@@ -1,10 +1,12 @@
 #include "peer/peer_server.h"
 
+#include <atomic>
 #include <random>
 
 #include <doctest/doctest.h>
 
 #include "fakes/raw_server.h"
+#include "fakes/wait_until.h"
 #include "peer/http_peer_client.h"
 #include "peer/process_check.h"
 
@@ -111,6 +113,20 @@
     CHECK(peers.received.front().value == "y");
 }
 
+// Guards against idle connections of both ends of each pair, which the server library polls every 11 ms.
+TEST_CASE_FIXTURE(fixture, "a call to a peer leaves no connection open") {
+    std::atomic<int> asked_to_close = 0;
+    const fakes::raw_server peer([&](fakes::raw_connection& link, const std::string& request) {
+        asked_to_close += request.find("Connection: close\r\n") != std::string::npos ? 1 : 0;
+        link.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    });
+    static_cast<void>(client.exchange_heartbeat(peer.address(), full_heartbeat()));
+    static_cast<void>(client.exchange_heartbeat(peer.address(), full_heartbeat()));
+    CHECK(asked_to_close == 2);
+    CHECK(peer.connections() == 2);
+    CHECK(fakes::wait_until([&] { return peer.closed() == 2; }));
+}
+
 // Guards against a forwarded request that is forwarded again, and against a changed verdict.
 TEST_CASE_FIXTURE(fixture, "requests and cancellations are marked as forwarded and keep their verdicts") {
     const auto done = client.forward(address, request());
