Count the bytes of connections that close between two reads

The control measurement read the kernel's counters of open connections twice a second and missed connections that close in between, and the last bytes of the others. With calls between entry VMs that close their connection it showed 0.02 KB/s of heartbeats. A second ss reports the counters of each connection when it is destroyed.

--- a/measure/support/socket_traffic.cpp
+++ b/measure/support/socket_traffic.cpp
@@ -1,6 +1,7 @@
 #include "support/socket_traffic.h"
 
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <memory>
 #include <sstream>
@@ -9,6 +10,10 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace masticpass::measure {
 
@@ -57,7 +62,30 @@
 }
 
 socket_traffic::socket_traffic(int first_port, int last_port)
-    : command_(absl::StrCat("ss -tinHO 'dport >= ", first_port, " and dport <= ", last_port, "'")) {
+    : first_port_(first_port),
+      last_port_(last_port),
+      command_(absl::StrCat("ss -tinHO 'dport >= ", first_port, " and dport <= ", last_port, "'")) {
+    std::array<int, 2> ends = {};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe for the program ss");
+    }
+    closed_output_ = ends[0];
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    // Without stdbuf the program writes its lines only when 4 KB are full.
+    std::array<std::string, 4> words = {"stdbuf", "-oL", "ss", "-tinHOE"};
+    std::array<char*, 5> arguments = {words[0].data(), words[1].data(), words[2].data(), words[3].data(),
+                                      nullptr};
+    const int failure =
+        ::posix_spawnp(&closed_reader_, "stdbuf", &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(ends[1]);
+    if (failure != 0) {
+        ::close(closed_output_);
+        throw std::runtime_error("cannot run ss");
+    }
+    closed_thread_ = std::thread([this] { read_closed(); });
     thread_ = std::thread([this] {
         while (!stopping_) {
             read();
@@ -69,37 +97,58 @@
 socket_traffic::~socket_traffic() {
     stopping_ = true;
     thread_.join();
+    ::kill(closed_reader_, SIGTERM);
+    ::waitpid(closed_reader_, nullptr, 0);
+    closed_thread_.join();
+    ::close(closed_output_);
 }
 
-void socket_traffic::note(const std::string& ends, const std::string& counters) {
-    traffic now;
-    now.sent = counter(counters, "bytes_sent");
-    now.received = counter(counters, "bytes_received");
-    now.wire = now.sent + now.received +
-               (counter(counters, "segs_out") + counter(counters, "segs_in")) * segment_header_bytes;
-    connection_state& known = connections_[ends];
-    // The same pair of ports belongs to a new connection if its counters are lower.
-    if (now.wire < known.last.wire) {
-        add(closed_[known.port], known.last);
+std::optional<socket_traffic::socket_line> socket_traffic::parse(const std::string& line) const {
+    std::istringstream parts(line);
+    std::string queued;
+    std::string unsent;
+    std::string local;
+    std::string remote;
+    socket_line result;
+    parts >> result.state >> queued >> unsent >> local >> remote;
+    const std::size_t colon = remote.rfind(':');
+    if (colon == std::string::npos || !absl::SimpleAtoi(remote.substr(colon + 1), &result.port) ||
+        result.port < first_port_ || result.port > last_port_) {
+        return std::nullopt;
     }
-    known.last = now;
-    static_cast<void>(absl::SimpleAtoi(ends.substr(ends.rfind(':') + 1), &known.port));
+    result.ends = absl::StrCat(local, " ", remote);
+    result.bytes.sent = counter(line, "bytes_sent");
+    result.bytes.received = counter(line, "bytes_received");
+    result.bytes.wire = result.bytes.sent + result.bytes.received +
+                        (counter(line, "segs_out") + counter(line, "segs_in")) * segment_header_bytes;
+    return result;
 }
 
 void socket_traffic::read() {
     std::istringstream lines(output_of(command_));
     const absl::MutexLock lock(&mutex_);
     for (std::string line; std::getline(lines, line);) {
-        std::istringstream parts(line);
-        std::string state;
-        std::string queued;
-        std::string unsent;
-        std::string local;
-        std::string remote;
-        parts >> state >> queued >> unsent >> local >> remote;
-        if (state == "ESTAB") {
-            note(absl::StrCat(local, " ", remote), line);
+        const auto socket = parse(line);
+        if (socket && socket->state == "ESTAB") {
+            connections_[socket->ends] = {socket->bytes, socket->port};
+        }
+    }
+}
+
+void socket_traffic::read_closed() {
+    std::string buffer;
+    std::array<char, 65536> bytes = {};
+    for (ssize_t size = 0; (size = ::read(closed_output_, bytes.data(), bytes.size())) > 0;) {
+        buffer.append(bytes.data(), static_cast<std::size_t>(size));
+        std::size_t begin = 0;
+        const absl::MutexLock lock(&mutex_);
+        for (std::size_t end = 0; (end = buffer.find('\n', begin)) != std::string::npos; begin = end + 1) {
+            if (const auto socket = parse(buffer.substr(begin, end - begin))) {
+                connections_.erase(socket->ends);
+                add(closed_[socket->port], socket->bytes);
+            }
         }
+        buffer.erase(0, begin);
     }
 }
 
--- a/measure/support/socket_traffic.h
+++ b/measure/support/socket_traffic.h
@@ -4,11 +4,13 @@
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
+#include <sys/types.h>
 
 namespace masticpass::measure {
 
@@ -23,11 +25,13 @@
     traffic operator-(const traffic& earlier) const;
 };
 
-// Adds up the kernel's byte counters of the connections to some loopback ports, read with the program `ss`
-// twice a second. A connection that opens and closes between two reads is not seen, so health probes, which
-// have their own connections, are counted by their responder.
+// Adds up the kernel's byte counters of the connections to some loopback ports. The program `ss` reads those
+// of open connections twice a second, and a second one reports those of each connection that closes, which
+// needs the right to administer the network. A connection that closes during a read can be counted twice.
+// Thread safety: `by_port` may be called from any thread.
 class socket_traffic {
 public:
+    // Throws std::runtime_error if `ss` cannot be run.
     socket_traffic(int first_port, int last_port);
     ~socket_traffic();
     socket_traffic(const socket_traffic&) = delete;
@@ -42,14 +46,30 @@
         int port = 0;
     };
 
+    struct socket_line {
+        std::string state;
+        // Local and remote address.
+        std::string ends;
+        int port = 0;
+        traffic bytes;
+    };
+
+    // nullopt if the connection is not to one of the ports.
+    std::optional<socket_line> parse(const std::string& line) const;
     void read();
-    void note(const std::string& ends, const std::string& counters) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    // Reads the connections that close until the program ends.
+    void read_closed();
 
+    const int first_port_;
+    const int last_port_;
     const std::string command_;
     std::atomic<bool> stopping_ = false;
     absl::Mutex mutex_;
     std::map<std::string, connection_state> connections_ ABSL_GUARDED_BY(mutex_);
     std::map<int, traffic> closed_ ABSL_GUARDED_BY(mutex_);
+    pid_t closed_reader_ = 0;
+    int closed_output_ = -1;
+    std::thread closed_thread_;
     std::thread thread_;
 };
 
