Let either end of a pair start the exchange of heartbeats

The end with the lower address started every exchange. Now each end sets a timer after every exchange, started or answered, to a random time of the heartbeat interval +/- 20%, and the one whose timer ends first starts the next (exchange_timers). Exchanges on request, pulls, pushes and the proof of absence are as before.

If both ends start at once, both exchanges complete. The heartbeats are built and numbered under one lock, and one with a lower number than the last of the same incarnation is dropped, so that an older state never replaces a newer one.

--- a/source/agent/membership_agent.cpp
+++ b/source/agent/membership_agent.cpp
@@ -12,8 +12,6 @@
 
 // An entry VM counts as alive for this many heartbeat intervals after its last heartbeat.
 constexpr int silence_limit_intervals = 4;
-// The end of a pair that does not start exchanges does so after this many intervals without a heartbeat.
-constexpr double passive_intervals = 1.5;
 constexpr absl::Duration process_check_time_limit = absl::Milliseconds(300);
 
 entry_observation to_observation(const heartbeat& beat) {
@@ -29,7 +27,7 @@
 
 membership_agent::membership_agent(const settings& configured, const incarnation_id& self, peer_client& peers,
                                    record_cache& records, const clock& time_source, metrics_registry& metrics,
-                                   membership_events events)
+                                   absl::BitGenRef random, membership_events events)
     : configured_(configured),
       self_(self),
       own_address_(to_string(configured.listen.peer)),
@@ -38,7 +36,8 @@
       clock_(time_source),
       metrics_(metrics),
       events_(std::move(events)),
-      silence_limit_(configured.timing.heartbeat * silence_limit_intervals) {
+      silence_limit_(configured.timing.heartbeat * silence_limit_intervals),
+      timers_(configured.timing.heartbeat, random) {
     set_registered({});
 }
 
@@ -75,9 +74,8 @@
     std::erase_if(links_, [](const auto& link) { return link.second == nullptr; });
     for (const std::string& address : wanted) {
         if (!links_.contains(address)) {
-            links_.emplace(address,
-                           std::make_unique<periodic_thread>(configured_.timing.heartbeat,
-                                                             [this, address] { exchange(address); }));
+            links_.emplace(address, std::make_unique<periodic_thread>(
+                                        [this, address] { return exchange_if_due(address); }));
         }
     }
 }
@@ -93,23 +91,32 @@
     }
 }
 
-// An exchange carries a heartbeat each way, so one of the two ends starts it: the one with the lower address.
 bool membership_agent::must_exchange(const std::string& address) {
     const absl::MutexLock lock(&mutex_);
-    if (requested_.erase(address) > 0 || own_address_ < address) {
-        return true;
-    }
-    const auto heard = heard_.find(address);
-    return heard == heard_.end() ||
-           clock_.now() - heard->second > configured_.timing.heartbeat * passive_intervals;
+    return requested_.erase(address) > 0 || timers_.left(address, clock_.now()) == absl::ZeroDuration();
 }
 
-void membership_agent::exchange(const std::string& address) {
-    if (!must_exchange(address)) {
-        return;
+absl::Duration membership_agent::exchange_if_due(const std::string& address) {
+    const bool is_due = must_exchange(address);
+    if (is_due) {
+        exchange(address);
+    }
+    const absl::MutexLock lock(&mutex_);
+    if (is_due) {
+        timers_.restart(address, clock_.now());
     }
+    return timers_.left(address, clock_.now());
+}
+
+heartbeat membership_agent::next_heartbeat(const std::string& address) {
+    const absl::MutexLock lock(&numbering_mutex_);
     heartbeat own = events_.own_heartbeat();
     loads_.reduce(address, own);
+    return own;
+}
+
+void membership_agent::exchange(const std::string& address) {
+    const heartbeat own = next_heartbeat(address);
     const auto answer = peers_.exchange_heartbeat(address, own);
     if (!answer) {
         metrics_.count({"masticpass_heartbeat_failures_total", "reason",
@@ -158,6 +165,12 @@
     {
         const absl::MutexLock lock(&mutex_);
         const auto before = view_.find(beat.entry);
+        const auto last = latest_.find(beat.entry);
+        if (last != latest_.end() && last->second.incarnation == beat.incarnation &&
+            beat.loads_number < last->second.loads_number) {
+            // Two exchanges at once can end in the reverse order.
+            return false;
+        }
         if (!view_.record_heartbeat(to_observation(beat), clock_.now())) {
             return false;
         }
@@ -165,7 +178,6 @@
             replaced = before->observation.incarnation;
         }
         latest_[beat.entry] = beat;
-        heard_[beat.address] = clock_.now();
     }
     if (replaced) {
         events_.gone(*replaced);
@@ -206,10 +218,11 @@
 }
 
 heartbeat membership_agent::receive_heartbeat(const heartbeat& beat) {
-    if (beat.incarnation != self_) {
-        accept(beat);
+    if (beat.incarnation != self_ && accept(beat)) {
+        const absl::MutexLock lock(&mutex_);
+        timers_.restart(beat.address, clock_.now());
     }
-    heartbeat own = events_.own_heartbeat();
+    heartbeat own = next_heartbeat(beat.address);
     if (beat.configuration_revision > own.configuration_revision ||
         beat.record_revision > own.record_revision) {
         // This end is behind; its own exchange at the next interval pulls what it lacks.
@@ -217,7 +230,6 @@
         requested_.insert(beat.address);
         lacked_[beat.entry] = {beat.configuration_revision, beat.record_revision};
     }
-    loads_.reduce(beat.address, own);
     return own;
 }
 
--- a/source/agent/membership_agent.h
+++ b/source/agent/membership_agent.h
@@ -10,8 +10,10 @@
 #include <vector>
 
 #include <absl/base/thread_annotations.h>
+#include <absl/random/bit_gen_ref.h>
 #include <absl/synchronization/mutex.h>
 
+#include "agent/exchange_timers.h"
 #include "agent/periodic_thread.h"
 #include "agent/record_cache.h"
 #include "common/clock.h"
@@ -38,13 +40,15 @@
 };
 
 // Exchanges heartbeats with the other entry VMs, one thread for each, and brings records to those that are
-// behind. Ownership: owns its threads; borrows everything passed in. Thread safety: all methods but the
-// constructor and destructor may be called from any thread.
+// behind. Either end of a pair starts an exchange. If both start one at once, both are completed and the
+// heartbeat that was built last stays.
+// Ownership: owns its threads; borrows everything passed in, and no other part may use `random`. Thread
+// safety: all methods but the constructor and destructor may be called from any thread.
 class membership_agent final : public peer_handler {
 public:
     membership_agent(const settings& configured, const incarnation_id& self, peer_client& peers,
                      record_cache& records, const clock& time_source, metrics_registry& metrics,
-                     membership_events events);
+                     absl::BitGenRef random, membership_events events);
     ~membership_agent() override;
 
     // Replaces the peer addresses found in the store; those of the settings stay.
@@ -70,8 +74,13 @@
     std::vector<entry_id> candidates(const zone_name& zone) const;
 
 private:
+    // Exchanges heartbeats if the timer has ended or an exchange was requested. Returns the time until the
+    // timer ends.
+    absl::Duration exchange_if_due(const std::string& address);
     void exchange(const std::string& address);
     bool must_exchange(const std::string& address);
+    // This entry VM's heartbeat as it is sent to one peer.
+    heartbeat next_heartbeat(const std::string& address);
     bool must_pull(const heartbeat& own, const heartbeat& peer);
     void note_refused(const std::string& address);
     bool accept(heartbeat beat);
@@ -87,16 +96,17 @@
     const membership_events events_;
     const absl::Duration silence_limit_;
     load_exchange loads_;
+    // Held while a heartbeat is built and numbered, so that a higher number never has older content.
+    absl::Mutex numbering_mutex_;
 
     mutable absl::Mutex mutex_;
     membership_view view_ ABSL_GUARDED_BY(mutex_);
     std::map<entry_id, heartbeat> latest_ ABSL_GUARDED_BY(mutex_);
-    // When a heartbeat from each address was last received.
-    std::map<std::string, absl::Time> heard_ ABSL_GUARDED_BY(mutex_);
+    exchange_timers timers_ ABSL_GUARDED_BY(mutex_);
     // The newest configuration and record revisions of each peer that this entry VM lacked at the last
     // exchange.
     std::map<entry_id, std::pair<std::uint64_t, std::uint64_t>> lacked_ ABSL_GUARDED_BY(mutex_);
-    // Addresses with which the next exchange takes place even if the other end would start it.
+    // Addresses with which an exchange takes place although the timer has not ended.
     std::set<std::string> requested_ ABSL_GUARDED_BY(mutex_);
 
     absl::Mutex links_mutex_;
--- a/source/agent/periodic_thread.h
+++ b/source/agent/periodic_thread.h
@@ -11,13 +11,19 @@
 
 namespace masticpass {
 
-// A thread that does the same work again and again, with a pause between two runs.
+// A thread that does the same work again and again, with a pause between two runs. The pause is fixed, or the
+// work returns the one that follows it.
 // Thread safety: `wake` may be called from any thread; construct and destroy on one thread. The destructor
 // waits for the run in progress.
 class periodic_thread {
 public:
     periodic_thread(absl::Duration pause, std::function<void()> work)
-        : pause_(pause), work_(std::move(work)), thread_([this] { loop(); }) {}
+        : periodic_thread([pause, run = std::move(work)] {
+              run();
+              return pause;
+          }) {}
+    explicit periodic_thread(std::function<absl::Duration()> work)
+        : work_(std::move(work)), thread_([this] { loop(); }) {}
     periodic_thread(const periodic_thread&) = delete;
     periodic_thread& operator=(const periodic_thread&) = delete;
     ~periodic_thread() {
@@ -37,9 +43,9 @@
 private:
     void loop() {
         while (true) {
-            work_();
+            const absl::Duration pause = work_();
             const absl::MutexLock lock(&mutex_);
-            mutex_.AwaitWithTimeout(absl::Condition(this, &periodic_thread::must_run), pause_);
+            mutex_.AwaitWithTimeout(absl::Condition(this, &periodic_thread::must_run), pause);
             if (stopping_) {
                 return;
             }
@@ -49,8 +55,7 @@
 
     bool must_run() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return stopping_ || awake_; }
 
-    const absl::Duration pause_;
-    const std::function<void()> work_;
+    const std::function<absl::Duration()> work_;
     absl::Mutex mutex_;
     bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
     bool awake_ ABSL_GUARDED_BY(mutex_) = false;
--- a/source/application/entry_parts.cpp
+++ b/source/application/entry_parts.cpp
@@ -266,7 +266,7 @@
     };
     events.gone = [this](const incarnation_id& gone) { ledger.proved_gone(gone); };
     membership = std::make_unique<membership_agent>(configured, self, peers, records, time_source, metrics,
-                                                    std::move(events));
+                                                    membership_random, std::move(events));
     listed = std::make_unique<vm_list_agent>(vm_listing_client, configured.timing.vm_poll, metrics,
                                              [this](const vm_listing& listing) {
                                                  directory.update(listing);
--- a/source/application/entry_parts.h
+++ b/source/application/entry_parts.h
@@ -89,6 +89,7 @@
 
     absl::BitGen watcher_random;
     absl::BitGen registration_random;
+    absl::BitGen membership_random;
     std::unique_ptr<membership_agent> membership;
     std::unique_ptr<vm_list_agent> listed;
     std::unique_ptr<store_watcher> watcher;
--- /dev/null
+++ b/tests/agent/exchange_timers_test.cpp
@@ -0,0 +1,47 @@
+#include "agent/exchange_timers.h"
+
+#include <algorithm>
+#include <random>
+
+#include <doctest/doctest.h>
+
+namespace masticpass {
+
+// Guards against one end of a pair that bears most of the cost of the exchanges, and against exchanges so far
+// apart that a live peer counts as silent.
+TEST_CASE("each end of a pair starts about half of the exchanges, 0.8 to 1.2 intervals apart") {
+    constexpr int exchanges = 10'000;
+    std::mt19937_64 first_random{1};
+    std::mt19937_64 second_random{2};
+    exchange_timers first(absl::Seconds(1), first_random);
+    exchange_timers second(absl::Seconds(1), second_random);
+    absl::Time now = absl::UnixEpoch();
+    int started_by_first = 0;
+    for (int count = 0; count < exchanges; ++count) {
+        first.restart("second", now);
+        second.restart("first", now);
+        const absl::Duration first_left = first.left("second", now);
+        const absl::Duration second_left = second.left("first", now);
+        const absl::Duration pause = std::min(first_left, second_left);
+        REQUIRE(pause >= absl::Milliseconds(800));
+        REQUIRE(std::max(first_left, second_left) <= absl::Milliseconds(1200));
+        started_by_first += first_left < second_left ? 1 : 0;
+        now += pause;
+    }
+    CHECK(started_by_first > exchanges * 48 / 100);
+    CHECK(started_by_first < exchanges * 52 / 100);
+}
+
+// Guards against a peer that is never asked, and against a timer of one peer that delays another.
+TEST_CASE("the timer of a peer has ended if it was never set or its time is over") {
+    std::mt19937_64 random{1};
+    exchange_timers timers(absl::Seconds(1), random);
+    const absl::Time now = absl::UnixEpoch();
+    CHECK(timers.left("a", now) == absl::ZeroDuration());
+    timers.restart("a", now);
+    CHECK(timers.left("a", now) > absl::ZeroDuration());
+    CHECK(timers.left("b", now) == absl::ZeroDuration());
+    CHECK(timers.left("a", now + absl::Milliseconds(1201)) == absl::ZeroDuration());
+}
+
+}  // namespace masticpass
--- a/tests/agent/membership_agent_test.cpp
+++ b/tests/agent/membership_agent_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <random>
 
 #include <doctest/doctest.h>
 
@@ -28,6 +29,7 @@
     record_cache records{[](const record&) {}};
     monotonic_clock time;
     metrics_registry metrics;
+    std::mt19937_64 random{1};
     std::atomic<std::uint64_t> own_revision = 1;
     std::atomic<int> received = 0;
     std::atomic<int> gone = 0;
@@ -55,7 +57,7 @@
 
     void start() {
         agent = std::make_unique<membership_agent>(
-            configured, incarnation(1), peers, records, time, metrics,
+            configured, incarnation(1), peers, records, time, metrics, random,
             membership_events{[this] {
                                   heartbeat own;
                                   own.entry = entry_id("e1");
@@ -79,7 +81,7 @@
             return beat(2, peer_revision);
         };
         start();
-        agent->set_registered({peer_address, "127.0.0.1:7001"});
+        agent->set_registered({peer_address, to_string(configured.listen.peer)});
     }
 
     void wait_for_exchanges(int count) {
@@ -88,6 +90,46 @@
     }
 };
 
+// One of two entry VMs that exchange heartbeats with each other.
+struct pair_end {
+    settings configured;
+    fakes::fake_peer_client peers;
+    record_cache records{[](const record&) {}};
+    monotonic_clock time;
+    metrics_registry metrics;
+    std::mt19937_64 random;
+    std::atomic<int> started = 0;
+    std::unique_ptr<membership_agent> agent;
+
+    explicit pair_end(std::uint16_t number) : random(number) {
+        const std::string name = "e" + std::to_string(number);
+        configured.entry = {entry_id(name), region_name("r"), zone_name("z")};
+        configured.listen.peer = {"127.0.0.1", number};
+        configured.timing.heartbeat = absl::Milliseconds(10);
+        membership_events events;
+        events.own_heartbeat = [this, number] {
+            heartbeat own;
+            own.entry = configured.entry.id;
+            own.incarnation = incarnation(number);
+            own.zone = configured.entry.zone;
+            own.address = to_string(configured.listen.peer);
+            return own;
+        };
+        events.received = [](const heartbeat&) {};
+        events.gone = [](const incarnation_id&) {};
+        agent = std::make_unique<membership_agent>(configured, incarnation(number), peers, records, time,
+                                                   metrics, random, std::move(events));
+    }
+
+    void exchange_with(membership_agent& other) {
+        peers.on_heartbeat = [this, &other](const std::string&,
+                                            const heartbeat& beat) -> tl::expected<heartbeat, peer_error> {
+            ++started;
+            return other.receive_heartbeat(beat);
+        };
+    }
+};
+
 }  // namespace
 
 // Guards against an entry VM that stays behind although a peer has the newer configuration.
@@ -118,6 +160,89 @@
     agent->stop();
 }
 
+// Guards against two exchanges an interval for each pair, whichever end has the lower address.
+TEST_CASE_FIXTURE(fixture, "an entry VM whose peer starts the exchanges stays passive until the peer stops") {
+    for (const std::uint16_t port : {1, 9}) {
+        CAPTURE(port);
+        exchanges = 0;
+        configured.listen.peer = {"127.0.0.1", port};
+        configured.timing.heartbeat = absl::Seconds(1);
+        exchange_with(1);
+        REQUIRE(fakes::wait_until([&] { return exchanges == 1; }));
+        for (int round = 0; round < 25; ++round) {
+            agent->receive_heartbeat(beat(2));
+            absl::SleepFor(absl::Milliseconds(100));
+        }
+        CHECK(exchanges == 1);
+        wait_for_exchanges(1);
+        agent->stop();
+    }
+}
+
+// Guards against a peer that is held for alive or gone because nobody asks it, whichever end has the lower
+// address.
+TEST_CASE_FIXTURE(fixture, "a silent peer is still asked") {
+    for (const std::uint16_t port : {1, 9}) {
+        CAPTURE(port);
+        answers = true;
+        configured.listen.peer = {"127.0.0.1", port};
+        exchange_with(1);
+        wait_for_exchanges(2);
+        answers = false;
+        wait_for_exchanges(5);
+        CHECK(gone == 0);
+        agent->stop();
+    }
+}
+
+// Guards against the entry VM with the lowest address starting all exchanges, which makes its control cost
+// exceed the goal.
+TEST_CASE("both ends of a pair start about half of the exchanges") {
+    constexpr int exchanges = 300;
+    pair_end first(1);
+    pair_end second(2);
+    first.exchange_with(*second.agent);
+    second.exchange_with(*first.agent);
+    first.agent->set_registered({to_string(second.configured.listen.peer)});
+    second.agent->set_registered({to_string(first.configured.listen.peer)});
+    REQUIRE(fakes::wait_until([&] { return first.started + second.started >= exchanges; }));
+    first.agent->stop();
+    second.agent->stop();
+    const double share = static_cast<double>(first.started) / (first.started + second.started);
+    CHECK(share > 0.35);
+    CHECK(share < 0.65);
+}
+
+// Guards against an older heartbeat that replaces a newer one when both ends start an exchange at once.
+TEST_CASE_FIXTURE(fixture, "of two exchanges at once the newer heartbeat stays and the peer stays alive") {
+    std::atomic<std::uint64_t> started_number = 0;
+    std::atomic<std::uint64_t> answered_number = 0;
+    configured.timing.heartbeat = absl::Seconds(60);
+    peers.on_heartbeat = [&](const std::string&,
+                             const heartbeat& own) -> tl::expected<heartbeat, peer_error> {
+        started_number = own.loads_number;
+        heartbeat answer = beat(2, 1);
+        answer.loads_number = 1;
+        heartbeat newer = beat(2, 1);
+        newer.loads_number = 2;
+        newer.allotment_epoch = 7;
+        answered_number = agent->receive_heartbeat(newer).loads_number;
+        ++exchanges;
+        return answer;
+    };
+    start();
+    agent->set_registered({peer_address});
+    REQUIRE(fakes::wait_until([&] { return exchanges == 1; }));
+    agent->stop();
+    CHECK(started_number == 1);
+    CHECK(answered_number == 2);
+    CHECK(received == 1);
+    CHECK(gone == 0);
+    CHECK(agent->alive(zone_name()).size() == 1);
+    REQUIRE(agent->latest().size() == 1);
+    CHECK(agent->latest().front().allotment_epoch == 7);
+}
+
 // Guards against slots that are taken from a process that is only silent, or kept for one that is gone.
 TEST_CASE_FIXTURE(fixture, "silence proves nothing, a refused connection proves an entry VM gone") {
     exchange_with(1);
