--- a/tests/process/backend_failure_test.cpp
+++ b/tests/process/backend_failure_test.cpp
@@ -14,16 +14,8 @@
 constexpr fleet_options small = {.vms_per_zone = 1, .entries_per_zone = 1};
 constexpr fleet_options three_servers = {.vms_per_zone = 3, .entries_per_zone = 1};
 
-std::string take_identity(const test_fleet& fleet) {
-    const auto answer = httplib::Client("http://" + fleet.address("entry-a1", test_fleet::listener::caller))
-                            .Post("/v1/identities?count=1", "", "text/plain");
-    Json::Value body;
-    REQUIRE((answer && Json::Reader().parse(answer->body, body)));
-    return body["identities"][0].asString();
-}
-
 caller_answer send_once(const test_fleet& fleet, int timeout_ms, int response_bytes = 16) {
-    const std::string id = take_identity(fleet);
+    const std::string id = fleet.take_identities("entry-a1", 1).front();
     return fleet.send("entry-a1",
                       {{"Masticpass-Timeout-Ms", std::to_string(timeout_ms)}, {"Masticpass-Request-Id", id}},
                       absl::StrCat(R"({"job":")", id, R"(","response_bytes":)", response_bytes, "}"));
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -142,9 +142,9 @@
     declare();
 }
 
-std::string test_fleet::agent() const {
+std::string test_fleet::agent(const std::string& pool) const {
     const std::vector<entry_id> candidates(entries_.begin(), entries_.end());
-    return rendezvous_owner("proofs", candidates).value().value();
+    return rendezvous_owner(pool, candidates).value().value();
 }
 
 std::string test_fleet::other_than(const std::string& entry) const {
@@ -155,17 +155,20 @@
     return {parse_socket_address(address(entry, listener::operations)).value(), absl::Seconds(10)};
 }
 
-void test_fleet::declare_wave(const std::string& entry, const std::string& wave) const {
+void test_fleet::declare_more(const std::string& entry, const std::string& sections) const {
     const Json::Value shown = operate(entry).show_configuration().value();
-    configuration_change change{.id = change_id(wave),
-                                .author = "test",
-                                .base_revision = shown["revision"].asInt64(),
-                                .set = {},
-                                .removed = {}};
-    change.set.waves[wave_name(wave)].pools.emplace_back("proofs");
+    const configuration_change change{.id = change_id(sections),
+                                      .author = "test",
+                                      .base_revision = shown["revision"].asInt64(),
+                                      .set = parse_sections(sections, "sections").value(),
+                                      .removed = {}};
     REQUIRE(operate(entry).propose_change(change).has_value());
 }
 
+void test_fleet::declare_wave(const std::string& entry, const std::string& wave) const {
+    declare_more(entry, absl::StrCat("wave/", wave, ": {pools: [proofs]}\n"));
+}
+
 std::string test_fleet::wave_status(const std::string& entry, const std::string& wave) const {
     const auto shown = operate(entry).show_wave(wave_name(wave));
     return shown ? (*shown)["status"].asString() : "";
@@ -211,11 +214,37 @@
         const Json::Value seen = counters(vm);
         INFO(vm, ": ", seen.toStyledString());
         REQUIRE(seen["most_running"].asInt() <= slots_per_server);
+    }
+    for (const auto& [job, count] : runs()) {
+        INFO(job);
         // Repeatable jobs may run again after a break.
-        for (const Json::Value& job : seen["jobs_run_again"]) {
-            REQUIRE(absl::StartsWith(job.asString(), "repeatable-"));
+        REQUIRE((count == 1 || absl::StartsWith(job, "repeatable-")));
+    }
+}
+
+std::map<std::string, int> test_fleet::runs() const {
+    std::map<std::string, int> result;
+    for (const std::string& vm : vms_) {
+        const Json::Value seen = control(vm, "/control/runs", Json::Value());
+        REQUIRE(seen.isObject());
+        for (const std::string& job : seen.getMemberNames()) {
+            result[job] += seen[job].asInt();
         }
     }
+    return result;
+}
+
+std::vector<std::string> test_fleet::take_identities(const std::string& entry, int count) const {
+    const auto answer = httplib::Client("http://" + address(entry, listener::caller))
+                            .Post(absl::StrCat("/v1/identities?count=", count), "", "text/plain");
+    Json::Value body;
+    REQUIRE((answer && Json::Reader().parse(answer->body, body)));
+    std::vector<std::string> result;
+    for (const Json::Value& id : body["identities"]) {
+        result.push_back(id.asString());
+    }
+    REQUIRE(result.size() == static_cast<std::size_t>(count));
+    return result;
 }
 
 caller_answer test_fleet::send(const std::string& entry, const httplib::Headers& headers,
--- a/tests/process/test_fleet.h
+++ b/tests/process/test_fleet.h
@@ -55,11 +55,14 @@
     void start_serving();
     // An entry VM, a backend server by the name of its VM, or "platform".
     child_process& process(const std::string& name) { return *processes_.at(name); }
-    // The entry VM that acts for the pool while all are alive, and one that does not.
-    std::string agent() const;
+    const std::string& platform_address() const { return platform_address_; }
+    // The entry VM that acts for the pool while all are alive, and another one than `entry`.
+    std::string agent(const std::string& pool = "proofs") const;
     std::string other_than(const std::string& entry) const;
 
     operations_client operate(const std::string& entry) const;
+    // Adds the sections of a YAML text to the configuration in force.
+    void declare_more(const std::string& entry, const std::string& sections) const;
     void declare_wave(const std::string& entry, const std::string& wave) const;
     // Empty if the entry VM does not answer.
     std::string wave_status(const std::string& entry, const std::string& wave) const;
@@ -71,9 +74,14 @@
     Json::Value control(const std::string& vm, const std::string& path, const Json::Value& body) const;
     Json::Value counters(const std::string& vm = {}) const;
     Json::Value list_vms() const;
-    // Requires that no server ran a job with an identity again or more jobs than its slots.
+    // How often each job has begun on all servers together.
+    std::map<std::string, int> runs() const;
+    // Requires that no job with an identity ran twice, on one server or on two, and that no server ran more
+    // jobs than its slots.
     void require_clean_backends() const;
 
+    // Issued by `entry`.
+    std::vector<std::string> take_identities(const std::string& entry, int count) const;
     caller_answer send(const std::string& entry, const httplib::Headers& headers,
                        const std::string& body) const;
     // A caller stand-in that sends to all entry VMs.
--- a/tests/standin/backend_standin.cpp
+++ b/tests/standin/backend_standin.cpp
@@ -1,32 +1,33 @@
 #include "standin/backend_standin.h"
 
-#include <memory>
+#include <chrono>
+#include <iostream>
 #include <string>
-#include <thread>
 
 #include <CLI/CLI.hpp>
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <httplib.h>
 #include <json/json.h>
-#include <sys/socket.h>
 
+#include "platform/etcd_messages.h"
 #include "standin/backend_state.h"
+#include "standin/http_front.h"
 #include "standin/stop_signal.h"
 
 namespace masticpass::standin {
 
 namespace {
 
-constexpr int handler_threads = 80;
+constexpr std::size_t handler_threads = 80;
+// Longer than entry VMs keep idle connections, so that none ends while a request is sent on it.
+constexpr std::chrono::seconds idle_limit = std::chrono::seconds(60);
+// Entry VMs pass on requests of up to 8 MiB.
+constexpr std::size_t maximum_payload_bytes = std::size_t{16} << 20U;
 constexpr int status_bad_request = 400;
 constexpr int status_internal_error = 500;
 constexpr int status_service_unavailable = 503;
 
-bool parse_json(const std::string& text, Json::Value& value) {
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr) && value.isObject();
-}
-
 void refuse(const backend_behaviour& behaviour, httplib::Response& response) {
     response.status = status_service_unavailable;
     response.set_header("Masticpass-Not-Run", "yes");
@@ -49,22 +50,22 @@
 }
 
 void run_job(backend_state& state, const httplib::Request& request, httplib::Response& response) {
-    Json::Value body;
-    if (!parse_json(request.body, body)) {
+    const auto body = etcd::parse_object(request.body);
+    if (!body) {
         response.status = status_bad_request;
         response.set_header("Masticpass-Attempt-Id", request.get_header_value("Masticpass-Attempt-Id"));
         response.set_content("the body is not a JSON object", "text/plain");
         return;
     }
-    const std::string job = body.get("job", "").asString();
+    const std::string job = body->get("job", "").asString();
     const backend_behaviour behaviour = state.behaviour();
     if (!state.begin(job, request.remote_port)) {
         refuse(behaviour, response);
         return;
     }
-    const bool fails = behaviour.fail_all || body.get("fail", false).asBool();
+    const bool fails = behaviour.fail_all || body->get("fail", false).asBool();
     if (!fails) {
-        absl::SleepFor(absl::Milliseconds(body.get("run_ms", 0).asInt()));
+        absl::SleepFor(absl::Milliseconds(body->get("run_ms", 0).asInt()));
     }
     state.end(job, !fails);
     absl::SleepFor(absl::Milliseconds(behaviour.late_ms));
@@ -75,7 +76,7 @@
         response.set_content("failed", "text/plain");
         return;
     }
-    const auto size = static_cast<std::size_t>(body.get("response_bytes", 16).asInt());
+    const auto size = static_cast<std::size_t>(body->get("response_bytes", 16).asInt());
     if (behaviour.truncate) {
         answer_truncated(size, response);
         return;
@@ -85,12 +86,12 @@
 
 void add_control(backend_state& state, httplib::Server& server) {
     server.Post("/control/behaviour", [&state](const httplib::Request& request, httplib::Response& response) {
-        Json::Value change;
-        if (!parse_json(request.body, change)) {
+        const auto change = etcd::parse_object(request.body);
+        if (!change) {
             response.status = status_bad_request;
             return;
         }
-        state.set_behaviour(change);
+        state.set_behaviour(*change);
     });
     server.Post("/control/silence",
                 [&state](const httplib::Request&, httplib::Response&) { state.silence_open_connections(); });
@@ -101,19 +102,10 @@
         state.set_behaviour(change);
     });
     server.Get("/control/counters", [&state](const httplib::Request&, httplib::Response& response) {
-        response.set_content(Json::writeString(Json::StreamWriterBuilder(), state.counters()),
-                             "application/json");
+        respond_json(response, 200, state.counters());
     });
-}
-
-void set_options(httplib::Server& server) {
-    server.new_task_queue = [] { return new httplib::ThreadPool(handler_threads); };
-    server.set_tcp_nodelay(true);
-    server.set_keep_alive_max_count(1'000'000);
-    server.set_keep_alive_timeout(60);
-    server.set_socket_options([](int socket) {
-        const int yes = 1;
-        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    server.Get("/control/runs", [&state](const httplib::Request&, httplib::Response& response) {
+        respond_json(response, 200, state.runs());
     });
 }
 
@@ -131,8 +123,9 @@
 
     const stop_signal stop;
     backend_state state(slots);
-    httplib::Server server;
-    set_options(server);
+    http_front front(handler_threads, idle_limit);
+    httplib::Server& server = front.server();
+    server.set_payload_max_length(maximum_payload_bytes);
     server.Post("/run", [&state](const httplib::Request& request, httplib::Response& response) {
         state.wait_while_silent(request.remote_port);
         run_job(state, request, response);
@@ -145,15 +138,14 @@
         response.set_content("ok", "text/plain");
     });
     add_control(state, server);
-    std::thread stopper([&] {
-        stop.wait();
-        state.release();
-        server.stop();
-    });
-    const bool listened = server.listen(host, port);
-    stop.raise();
-    stopper.join();
-    return listened ? 0 : 1;
+    const auto address = front.start(absl::StrCat(host, ":", port));
+    if (!address) {
+        std::cerr << address.error() << "\n";
+        return 1;
+    }
+    stop.wait();
+    state.release();
+    return 0;
 }
 
 }  // namespace masticpass::standin
--- a/tests/standin/backend_state.cpp
+++ b/tests/standin/backend_state.cpp
@@ -70,13 +70,15 @@
     result["offered_while_leaving"] = Json::UInt64{begun_while_leaving_};
     result["completed"] = Json::UInt64{completed_};
     result["distinct_jobs"] = Json::UInt64{runs_.size()};
-    Json::Value repeated(Json::arrayValue);
-    for (const auto& [job, runs] : runs_) {
-        if (runs > 1) {
-            repeated.append(job);
-        }
+    return result;
+}
+
+Json::Value backend_state::runs() const {
+    const absl::MutexLock lock(&mutex_);
+    Json::Value result(Json::objectValue);
+    for (const auto& [job, count] : runs_) {
+        result[job] = count;
     }
-    result["jobs_run_again"] = repeated;
     return result;
 }
 
--- a/tests/standin/backend_state.h
+++ b/tests/standin/backend_state.h
@@ -47,6 +47,8 @@
     void wait_until_idle();
 
     Json::Value counters() const;
+    // How often each job has begun.
+    Json::Value runs() const;
 
 private:
     bool is_idle() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return running_ == 0; }
--- a/tests/standin/http_front.cpp
+++ b/tests/standin/http_front.cpp
@@ -12,17 +12,16 @@
 
 constexpr int listen_backlog = 512;
 constexpr std::size_t maximum_requests_per_connection = 1'000'000'000;
-constexpr time_t idle_limit_seconds = 5;
 constexpr time_t transfer_limit_seconds = 10;
 constexpr std::size_t maximum_payload_bytes = std::size_t{4} << 20U;
 
 }  // namespace
 
-http_front::http_front(std::size_t maximum_connections) {
+http_front::http_front(std::size_t maximum_connections, std::chrono::seconds idle_limit) {
     server_.new_task_queue = [maximum_connections] { return new httplib::ThreadPool(maximum_connections); };
     server_.set_tcp_nodelay(true);
     server_.set_keep_alive_max_count(maximum_requests_per_connection);
-    server_.set_keep_alive_timeout(idle_limit_seconds);
+    server_.set_keep_alive_timeout(idle_limit.count());
     server_.set_read_timeout(transfer_limit_seconds);
     server_.set_write_timeout(transfer_limit_seconds);
     server_.set_payload_max_length(maximum_payload_bytes);
--- a/tests/standin/http_front.h
+++ b/tests/standin/http_front.h
@@ -1,8 +1,8 @@
 #ifndef MASTICPASS_STANDIN_HTTP_FRONT_H
 #define MASTICPASS_STANDIN_HTTP_FRONT_H
 
+#include <chrono>
 #include <cstddef>
-#include <functional>
 #include <string>
 #include <thread>
 
@@ -15,9 +15,11 @@
 // An HTTP server on a thread of its own.
 class http_front {
 public:
-    // One thread serves each open connection, so `maximum_connections` bounds the open connections.
-    explicit http_front(std::size_t maximum_connections);
-    // Stops the server. A connection without a request ends within the idle limit.
+    // One thread serves each open connection, so `maximum_connections` bounds the open connections. A
+    // connection without a request ends after `idle_limit`.
+    explicit http_front(std::size_t maximum_connections,
+                        std::chrono::seconds idle_limit = std::chrono::seconds(5));
+    // Stops the server.
     ~http_front();
     http_front(const http_front&) = delete;
     http_front& operator=(const http_front&) = delete;
--- a/tests/standin/platform_standin.cpp
+++ b/tests/standin/platform_standin.cpp
@@ -1,6 +1,5 @@
 #include "standin/platform_standin.h"
 
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -12,6 +11,7 @@
 
 #include "platform/etcd_messages.h"
 #include "standin/platform_server.h"
+#include "standin/stop_signal.h"
 
 namespace masticpass::standin {
 
@@ -69,12 +69,6 @@
     return vms;
 }
 
-// Blocks until the process is asked to end.
-void wait_for_end(const sigset_t& signals) {
-    int signal = 0;
-    sigwait(&signals, &signal);
-}
-
 }  // namespace
 
 int run_platform_standin(int argc, const char* const* argv) {
@@ -104,18 +98,14 @@
     options.vms = *std::move(vms);
 
     // Blocked before the server starts its threads, which inherit the mask.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const stop_signal stop;
     const auto server = platform_server::create(options);
     if (!server) {
         std::cerr << server.error() << '\n';
         return 1;
     }
     std::cout << "listening on " << (*server)->address() << std::endl;
-    wait_for_end(signals);
+    stop.wait();
     return 0;
 }
 
--- a/tests/standin/stop_signal.h
+++ b/tests/standin/stop_signal.h
@@ -4,7 +4,6 @@
 #include <csignal>
 
 #include <pthread.h>
-#include <unistd.h>
 
 namespace masticpass::standin {
 
@@ -24,9 +23,6 @@
         sigwait(&signals_, &received);
     }
 
-    // Sends SIGTERM to this process, which ends a wait.
-    void raise() const { ::kill(::getpid(), SIGTERM); }
-
 private:
     sigset_t signals_{};
 };
