Split the random maintenance schedule into files of one duty each

fleet_schedule.cpp held the course of a schedule, the failures, the entry VMs, the platform and the invariants in 564 lines. Each has a file of its own now; no statement changed.

--- a/tests/decision/maintenance/fleet_schedule.h
+++ b/tests/decision/maintenance/fleet_schedule.h
@@ -72,30 +72,39 @@
 
     int pick(int count) { return static_cast<int>(random_() % static_cast<std::uint64_t>(count)); }
     bool chance(int percent) { return pick(100) < percent; }
+    // fleet_schedule.cpp: the course of a schedule.
     void create_fleet();
     void random_step();
     bool recover_all();
+    bool waves_ended() const;
+    std::string wave_state_text() const;
+
+    // fleet_schedule_failures.cpp: what operators change and what fails.
     void change_operations();
     void fail_something();
     void replace_entry(entry_vm& entry);
     void replace_terminated(const vm_id& id, true_vm& vm);
-    void advance();
-    void list_vms();
+
+    // fleet_schedule_entries.cpp: what entry VMs see and do.
     void serve(entry_vm& entry);
     void acknowledge(entry_vm& entry);
     void decide(entry_vm& entry, const pool_name& pool, bool stale);
     void execute(entry_vm& entry);
     maintenance_view view_of(const entry_vm& entry, bool stale);
     void forge_departures(maintenance_view& view) const;
+
+    // fleet_schedule_platform.cpp: the store, the VM list and VM control.
+    void advance();
+    void list_vms();
     void write(const write_record& action, const std::set<vm_id>& down);
     void reboot(const reboot_vm& action);
+
+    // fleet_schedule_checks.cpp: the invariants.
     void check_write(const pool_record& before, const pool_record& after, const std::set<vm_id>& down);
     void check_owners();
     void check_counts(const pool_record& record, const std::set<vm_id>& unavailable, int missing,
                       const std::string& event);
     void violate(const std::string& text);
-    bool waves_ended() const;
-    std::string wave_state_text() const;
 
     std::mt19937_64 random_;
     removed_guard guard_;
--- /dev/null
+++ b/tests/decision/maintenance/fleet_schedule_entries.cpp
@@ -0,0 +1,160 @@
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "fleet_schedule.h"
+
+namespace masticpass {
+
+namespace {
+
+// How many writes and how many steps a stale read of the store and of the VM list lags behind.
+constexpr int store_lag = 6;
+constexpr int list_lag = 20;
+// A step is one second; probes must have failed for 10 s before a VM counts as failed.
+constexpr int probe_failure_steps = 10;
+
+}  // namespace
+
+// Takes the entry VM's part in serving: it refreshes what it knows of the records, acknowledges drained VMs,
+// and starts and finishes requests.
+void fleet_schedule::serve(entry_vm& entry) {
+    if (!store_down_) {
+        // The first read after joining the allotment must not be stale: nobody waits for the acknowledgement
+        // of an entry VM that joined after the action began.
+        const int lag = entry.known.empty() ? 0 : pick(std::min(store_lag, static_cast<int>(stores_.size())));
+        const record_map& read = *stores_.at(stores_.size() - 1 - static_cast<std::size_t>(lag));
+        for (const auto& [pool, stored] : read) {
+            if (stored.revision > entry.known[pool].revision) {
+                entry.known[pool] = stored;
+            }
+        }
+    }
+    for (auto item = entry.in_flight.begin(); item != entry.in_flight.end();) {
+        item = chance(40) ? entry.in_flight.erase(item) : std::next(item);
+    }
+    acknowledge(entry);
+    for (const auto& [pool, stored] : entry.known) {
+        for (const auto& [id, vm] : stored.record.vms) {
+            if (vm.phase == vm_phase::serving && vm.zone == entry.zone && vms_.at(id).state == power::up &&
+                vms_.at(id).role == pool && chance(20)) {
+                entry.in_flight[id] = 1;
+            }
+        }
+    }
+}
+
+void fleet_schedule::acknowledge(entry_vm& entry) {
+    for (const auto& [pool, stored] : entry.known) {
+        for (const auto& [id, vm] : stored.record.vms) {
+            if ((vm.phase == vm_phase::reserved || vm.phase == vm_phase::moving_out) &&
+                !entry.in_flight.contains(id)) {
+                acknowledged_[{id, vm.operation}].insert(entry.incarnation);
+                acknowledged_ever_[id].insert(entry.incarnation);
+            }
+        }
+    }
+}
+
+maintenance_view fleet_schedule::view_of(const entry_vm& entry, bool stale) {
+    maintenance_view view;
+    view.self = entry.incarnation;
+    view.next_sequence = entry.sequence;
+    view.now = now_;
+    view.limits = limits_;
+    view.waves = waves_;
+    view.moves = requests_;
+    const auto read = [&](const auto& items, int lag) {
+        const auto back = stale ? static_cast<std::size_t>(pick(lag)) : 0;
+        return *items.at(items.size() - 1 - std::min(items.size() - 1, back));
+    };
+    view.pools = read(stores_, store_lag);
+    view.vms = read(lists_, list_lag);
+    for (auto& [id, seen] : view.vms) {
+        const true_vm& vm = vms_.at(id);
+        const bool up = vm.state == power::up;
+        const bool blind = guard_ == removed_guard::observed_failures;
+        seen.answers = up || blind;
+        seen.probes_failed = !up && !blind && step_ - vm.down_since >= probe_failure_steps;
+        if (guard_ == removed_guard::list_order) {
+            seen.list_index = step_;
+        }
+    }
+    view.drain.senders = senders_;
+    view.drain.proved_gone = gone_;
+    view.drain.acknowledged = acknowledged_;
+    if (guard_ == removed_guard::drain_operation) {
+        for (const auto& [pool, stored] : view.pools) {
+            for (const auto& [id, vm] : stored.record.vms) {
+                view.drain.acknowledged[{id, vm.operation}] = acknowledged_ever_[id];
+            }
+        }
+    }
+    if (guard_ == removed_guard::departure_evidence) {
+        forge_departures(view);
+    }
+    return view;
+}
+
+void fleet_schedule::forge_departures(maintenance_view& view) const {
+    for (const auto& [pool, stored] : std::map(view.pools)) {
+        for (const auto& [id, vm] : stored.record.vms) {
+            if (vm.phase == vm_phase::incoming && view.pools.contains(vm.other_pool)) {
+                pool_record& source = view.pools.at(vm.other_pool).record;
+                source.departures[id] = departure{pool, vm.operation, stored.revision};
+            }
+        }
+    }
+}
+
+void fleet_schedule::decide(entry_vm& entry, const pool_name& pool, bool stale) {
+    if (acknowledged_.size() > 40) {
+        // Acknowledgements of operations that are over only cost time.
+        std::erase_if(acknowledged_, [&](const auto& item) {
+            return std::none_of(stores_.back()->begin(), stores_.back()->end(), [&](const auto& stored) {
+                const auto vm = stored.second.record.vms.find(item.first.first);
+                return vm != stored.second.record.vms.end() && vm->second.operation == item.first.second;
+            });
+        });
+    }
+    const maintenance_view view = view_of(entry, stale);
+    std::set<vm_id> down;
+    for (const auto& [id, vm] : vms_) {
+        if (vm.state != power::up) {
+            down.insert(id);
+        }
+    }
+    for (maintenance_action& action : next_pool_steps(view, pool)) {
+        if (guard_ == removed_guard::departure_evidence && std::holds_alternative<write_record>(action)) {
+            // Forged departures must not reach the store.
+            write_record& change = std::get<write_record>(action);
+            const pool_record& read = view.pools.at(pool).record;
+            const pool_record& real = stores_.back()->at(pool).record;
+            std::erase_if(change.record.departures, [&](const auto& item) {
+                return !real.departures.contains(item.first) && read.departures.contains(item.first);
+            });
+        }
+        entry.pending.push_back({std::move(action), down});
+    }
+    ++entry.sequence;
+}
+
+void fleet_schedule::execute(entry_vm& entry) {
+    if (entry.pending.empty()) {
+        return;
+    }
+    const pending_action next = std::move(entry.pending.front());
+    entry.pending.pop_front();
+    if (const auto* change = std::get_if<write_record>(&next.action)) {
+        // A response lost after the write leaves the writer without a result; it decides again from the
+        // record.
+        write(*change, next.down_when_decided);
+    } else if (const auto* call = std::get_if<reboot_vm>(&next.action)) {
+        reboot(*call);
+        if (chance(20)) {
+            reboot(*call);
+        }
+    }
+}
+
+}  // namespace masticpass
