--- /dev/null
+++ b/tests/agent/service_table_agent_test.cpp
@@ -0,0 +1,143 @@
+#include "agent/service_table_agent.h"
+
+#include <atomic>
+#include <memory>
+
+#include <doctest/doctest.h>
+
+#include "agent/allotment_json.h"
+#include "agent/record_keys.h"
+#include "decision/configuration/sample.h"
+#include "fakes/fake_backend_client.h"
+#include "fakes/fake_peer_client.h"
+#include "fakes/manual_clock.h"
+#include "fakes/wait_until.h"
+
+namespace masticpass {
+
+namespace {
+
+// The only entry VM of zone a, where the pool "dyeing" has the VM "dyeing0" for the service "dye-plan".
+struct fixture {
+    const incarnation_id self{"i1"};
+    const vm_id vm{"dyeing0"};
+    settings configured;
+    fakes::manual_clock time;
+    fakes::fake_backend_client backends;
+    fakes::fake_peer_client peers;
+    forwarding forwards{{entry_id("e1"), region_name("r"), zone_name("a")}, {}};
+    server_directory directory;
+    slot_ledger ledger{self};
+    metrics_registry metrics;
+    request_router router{{self, time, backends, peers, forwards, directory, ledger, metrics}, {}};
+    fleet_state fleet{zone_name("a"), metrics};
+    std::atomic<bool> has_fresh_pools = true;
+    std::uint64_t revision = 0;
+
+    fixture() {
+        configured.entry = {entry_id("e1"), region_name("r"), zone_name("a")};
+        take("config", serialize(small_record()));
+        take(allotment_key(zone_name("a")), serialize(allotment_record{1, {{entry_id("e1"), self, 1}}}));
+        list(1, "b1");
+        set_phase(vm_phase::serving);
+    }
+
+    void take(const std::string& key, const std::string& value) { fleet.take({key, value, ++revision}); }
+    void set_phase(vm_phase phase, const std::string& operation = {}) {
+        pool_record record;
+        record.pool = pool_name("dyeing");
+        pool_vm& entry = record.vms[vm];
+        entry.zone = zone_name("a");
+        entry.rack = rack_name("a1");
+        entry.phase = phase;
+        entry.operation = operation_id(operation);
+        entry.actor = incarnation_id(operation.empty() ? "" : "i1");
+        entry.other_pool = pool_name(phase == vm_phase::moving_out ? "desk" : "");
+        take(pool_key(record.pool), serialize(record));
+    }
+    void list(std::int64_t index, const std::string& boot, const std::string& role = "dyeing") {
+        directory.update({.index = index,
+                          .vms = {{.vm = vm,
+                                   .zone = zone_name("a"),
+                                   .rack = rack_name("a1"),
+                                   .address = "127.0.0.1:1",
+                                   .boot = boot_id(boot),
+                                   .pool = pool_name(role)}}});
+    }
+    int free_slots() const {
+        for (const routed_load& one : router.loads()) {
+            if (one.service == service_name("dye-plan")) {
+                return one.load.free_slots;
+            }
+        }
+        return -1;
+    }
+    bool has_slots(int count) const {
+        return fakes::wait_until([&] { return free_slots() == count; });
+    }
+    bool has_drained(const std::string& operation) const {
+        return fakes::wait_until([&] {
+            const auto drained = agent->drained();
+            return drained.size() == 1 && drained[0].vm == vm &&
+                   drained[0].operation == operation_id(operation);
+        });
+    }
+    void start() {
+        agent = std::make_unique<service_table_agent>(configured, fleet, directory, ledger, router,
+                                                      [this] { return has_fresh_pools.load(); });
+    }
+    std::unique_ptr<service_table_agent> agent;
+};
+
+}  // namespace
+
+// Guards against requests to a VM that was drained before this entry VM joined the allotment.
+TEST_CASE_FIXTURE(fixture, "no slot is used before the pool records are fresh, and freshness stays") {
+    has_fresh_pools = false;
+    start();
+    REQUIRE(has_slots(0));
+    has_fresh_pools = true;
+    REQUIRE(has_slots(slots_per_instance));
+    has_fresh_pools = false;
+    take("config", serialize(small_record()));
+    // Applied when the table has another change.
+    list(2, "b1", "desk");
+    REQUIRE(has_slots(0));
+    list(3, "b1");
+    CHECK(has_slots(slots_per_instance));
+}
+
+// Guards against new work for a leaving server, one that runs another role, or one that is lost after its
+// restart.
+TEST_CASE_FIXTURE(fixture, "a server that leaves or runs another role gives no slot until its next boot") {
+    start();
+    REQUIRE(has_slots(slots_per_instance));
+    directory.mark_leaving(vm, boot_id("b1"));
+    CHECK(has_slots(0));
+    list(2, "b2", "desk");
+    CHECK(has_slots(0));
+    list(3, "b2");
+    CHECK(has_slots(slots_per_instance));
+}
+
+// Guards against a reboot that interrupts a request: an acknowledgement while one is in flight, for an
+// operation that is over, or for a VM that still takes new requests.
+TEST_CASE_FIXTURE(fixture, "a reserved VM is acknowledged as drained when its last request has ended") {
+    start();
+    REQUIRE(has_slots(slots_per_instance));
+    CHECK(agent->drained().empty());
+    REQUIRE(ledger.acquire_slot(vm));
+    set_phase(vm_phase::reserved, "o1");
+    REQUIRE(has_slots(0));
+    CHECK(agent->drained().empty());
+    CHECK_FALSE(ledger.acquire_slot(vm));
+    ledger.release_slot(vm);
+    CHECK(has_drained("o1"));
+    set_phase(vm_phase::serving);
+    REQUIRE(has_slots(slots_per_instance));
+    CHECK(agent->drained().empty());
+    set_phase(vm_phase::moving_out, "o2");
+    CHECK(has_drained("o2"));
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/tests/agent/vm_list_agent_test.cpp
@@ -0,0 +1,96 @@
+#include "agent/vm_list_agent.h"
+
+#include <atomic>
+
+#include <doctest/doctest.h>
+
+#include "fakes/wait_until.h"
+
+namespace masticpass {
+
+namespace {
+
+// Gives the answer that the test has set.
+class set_vm_list final : public vm_list {
+public:
+    using answer = tl::expected<std::optional<vm_listing>, vm_list_error>;
+
+    answer list(const zone_name&, std::optional<std::int64_t>) override {
+        const absl::MutexLock lock(&mutex_);
+        ++calls_;
+        return answer_;
+    }
+
+    // Returns when the agent has processed the answer: the call after the one that got it has begun.
+    void set(const answer& next) {
+        int calls = 0;
+        {
+            const absl::MutexLock lock(&mutex_);
+            answer_ = next;
+            calls = calls_;
+        }
+        REQUIRE(fakes::wait_until([&] {
+            const absl::MutexLock lock(&mutex_);
+            return calls_ >= calls + 2;
+        }));
+    }
+
+private:
+    absl::Mutex mutex_;
+    answer answer_ ABSL_GUARDED_BY(mutex_) = std::nullopt;
+    int calls_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+vm_listing listing_at(std::int64_t index, const std::string& boot) {
+    listed_vm vm;
+    vm.vm = vm_id("v1");
+    vm.boot = boot_id(boot);
+    return {.index = index, .vms = {vm}};
+}
+
+struct fixture {
+    set_vm_list list;
+    metrics_registry metrics;
+    std::atomic<int> changes = 0;
+    std::atomic<std::int64_t> last_change = 0;
+    vm_list_agent agent{list, absl::Milliseconds(1), metrics, [this](const vm_listing& listing) {
+                            ++changes;
+                            last_change = listing.index;
+                        }};
+
+    std::string boot() const { return agent.latest()->vms.at(0).boot.value(); }
+    std::uint64_t errors() const {
+        return metrics.counter({"masticpass_platform_errors_total", "call", "vm-list"});
+    }
+};
+
+}  // namespace
+
+// Guards against an old list that brings back an old boot identity, and against one that is reported twice.
+TEST_CASE_FIXTURE(fixture, "only a list with a greater index replaces the one held") {
+    CHECK(agent.latest()->index == 0);
+    list.set(listing_at(7, "b2"));
+    CHECK(boot() == "b2");
+    list.set(listing_at(6, "b1"));
+    list.set(listing_at(7, "other"));
+    list.set(std::nullopt);
+    CHECK(boot() == "b2");
+    CHECK(changes == 1);
+    list.set(listing_at(8, "b3"));
+    CHECK(boot() == "b3");
+    CHECK(changes == 2);
+    CHECK(last_change == 8);
+}
+
+// Guards against VMs that vanish while the platform gives no answer.
+TEST_CASE_FIXTURE(fixture, "a failed call keeps the list held and is counted") {
+    list.set(listing_at(7, "b2"));
+    CHECK(errors() == 0);
+    list.set(tl::make_unexpected(vm_list_error{"down"}));
+    CHECK(errors() > 0);
+    CHECK(boot() == "b2");
+    list.set(listing_at(9, "b3"));
+    CHECK(boot() == "b3");
+}
+
+}  // namespace masticpass
--- /dev/null
+++ b/tests/backend/connection_pool_test.cpp
@@ -0,0 +1,100 @@
+#include "backend/connection_pool.h"
+
+#include <doctest/doctest.h>
+
+#include "fakes/raw_server.h"
+#include "fakes/wait_until.h"
+
+namespace masticpass {
+
+namespace {
+
+constexpr absl::Duration idle_limit = absl::Seconds(5);
+constexpr std::size_t most_idle = 2;
+
+struct fixture {
+    const absl::Time start = absl::UnixEpoch();
+    fakes::raw_server server{[](fakes::raw_connection& link, const std::string& request) {
+        link.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        if (request.starts_with("GET /close")) {
+            link.close();
+        }
+    }};
+    connection_pool pool{idle_limit, most_idle};
+
+    // A connection whose last exchange succeeded.
+    std::unique_ptr<connection> open(const std::string& path = "/health") const {
+        auto link = connection::create(server.address(), connection_limits()).value();
+        exchange_request request;
+        request.method = "GET";
+        request.path = path;
+        request.time_limit = absl::Seconds(20);
+        REQUIRE(link->exchange(request).has_value());
+        return link;
+    }
+    const connection* put(absl::Time now) {
+        auto link = open();
+        const connection* const raw = link.get();
+        pool.put_back(server.address(), std::move(link), now);
+        return raw;
+    }
+    const connection* take(absl::Time now) { return pool.take(server.address(), now).link.get(); }
+    bool have_closed(int count) const {
+        return fakes::wait_until([&] { return server.closed() == count; });
+    }
+};
+
+}  // namespace
+
+// Guards against a connection of another server, a lost idle time, and use of the oldest connection first.
+TEST_CASE_FIXTURE(fixture, "the most recently used connection to the address is handed out") {
+    put(start);
+    const connection* const last = put(start + absl::Seconds(1));
+    CHECK(pool.take("127.0.0.1:1", start).link == nullptr);
+    const idle_connection taken = pool.take(server.address(), start + absl::Seconds(4));
+    CHECK(taken.link.get() == last);
+    CHECK(taken.idle_time == absl::Seconds(3));
+    CHECK(take(start + absl::Seconds(4)) != nullptr);
+    CHECK(take(start + absl::Seconds(4)) == nullptr);
+}
+
+// Guards against a request on a connection that the server may be closing, and against one that stays open.
+TEST_CASE_FIXTURE(fixture, "a connection that was idle for too long is closed and not handed out") {
+    put(start);
+    put(start + absl::Seconds(1));
+    SUBCASE("when it would be taken") {
+        CHECK(take(start + absl::Seconds(1) + idle_limit + absl::Milliseconds(1)) == nullptr);
+        CHECK(have_closed(2));
+    }
+    SUBCASE("when stale ones are closed") {
+        pool.close_stale(start + idle_limit + absl::Milliseconds(1));
+        CHECK(have_closed(1));
+        CHECK(take(start + idle_limit) != nullptr);
+        CHECK(take(start + idle_limit) == nullptr);
+    }
+}
+
+// Guards against a request on a connection that a leaving or restarted server has closed.
+TEST_CASE_FIXTURE(fixture, "a connection that the server closed is passed over") {
+    const connection* const good = put(start);
+    auto closed = open("/close");
+    REQUIRE(fakes::wait_until([&] { return !closed->is_reusable(); }));
+    pool.put_back(server.address(), std::move(closed), start);
+    CHECK(pool.take(server.address(), start).link.get() == good);
+}
+
+// Guards against idle connections that use up the quota of a server, and against some that survive a silent
+// one.
+TEST_CASE_FIXTURE(fixture, "idle connections are bounded and discarded by address") {
+    put(start);
+    put(start);
+    put(start);
+    CHECK(have_closed(1));
+    pool.discard("127.0.0.1:1");
+    CHECK(take(start) != nullptr);
+    pool.discard(server.address());
+    CHECK(have_closed(3));
+    CHECK(take(start) == nullptr);
+}
+
+}  // namespace masticpass
--- a/tests/fakes/fake_backend_client.h
+++ b/tests/fakes/fake_backend_client.h
@@ -13,7 +13,8 @@
 
 namespace masticpass::fakes {
 
-// Answers attempts with a function that a test sets; without one, each attempt gets the response "done".
+// Answers attempts and probes with functions that a test sets; without them, each attempt gets the response
+// "done" and each probe finds a healthy server.
 // Thread safety: all methods may be called from any thread.
 class fake_backend_client final : public backend_client {
 public:
@@ -30,13 +31,18 @@
         return respond ? respond(request) : done();
     }
 
-    probe_result probe(std::string_view, absl::Duration) override { return probe_result::healthy; }
+    probe_result probe(std::string_view address, absl::Duration) override {
+        return prober_ ? prober_(address) : probe_result::healthy;
+    }
 
     void set_responder(responder respond) {
         const absl::MutexLock lock(&mutex_);
         respond_ = std::move(respond);
     }
 
+    // Answers probes. Set before the first one.
+    void set_prober(std::function<probe_result(std::string_view)> prober) { prober_ = std::move(prober); }
+
     int runs() const { return runs_.load(); }
 
     static result done() {
@@ -51,6 +57,7 @@
 
 private:
     std::atomic<int> runs_ = 0;
+    std::function<probe_result(std::string_view)> prober_;
     absl::Mutex mutex_;
     responder respond_ ABSL_GUARDED_BY(mutex_);
 };
