Measure what takes the slots during long waits of short work

The part "cause" of serving_measure shows, for the waits of short work from the 99th percentile on, which work took the slots, and which p99 a fixed number of kept slots reaches with the true class of each job and at most 3% of the work lost.

Classing is ruled out as the cause.

--- a/measure/serving_measure.cpp
+++ b/measure/serving_measure.cpp
@@ -16,7 +16,7 @@
     double bound_step = 0.25;
     application.add_option("--seed", seed, "Seed of the traces");
     application.add_option("--part", part, "Part to run")
-        ->check(CLI::IsMember({"all", "wait", "worth", "retry", "once", "cost"}));
+        ->check(CLI::IsMember({"all", "wait", "cause", "worth", "retry", "once", "cost"}));
     application.add_option("--bound-step", bound_step, "Step of the upper bound on worth in seconds");
     CLI11_PARSE(application, argc, argv);
 
@@ -24,6 +24,9 @@
     if (wanted("wait")) {
         masticpass::measure::measure_short_wait(seed);
     }
+    if (wanted("cause")) {
+        masticpass::measure::measure_wait_causes(seed);
+    }
     if (wanted("worth")) {
         masticpass::measure::measure_worth(seed, bound_step);
     }
--- a/measure/support/scheduling_part.cpp
+++ b/measure/support/scheduling_part.cpp
@@ -1,6 +1,9 @@
 #include "support/scheduling_part.h"
 
+#include <array>
+#include <numeric>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/strings/str_cat.h>
@@ -52,23 +55,79 @@
     return traces;
 }
 
+serving_trace make_wait_trace(std::uint64_t seed, int servers, double load) {
+    trace_options options{.seed = seed,
+                          .servers = servers,
+                          .horizon = 600.0,
+                          .burst_load = load,
+                          .burst_length = 600.0,
+                          .burst_period = 600.0,
+                          .short_share = 0.2};
+    // Deadlines do not matter here: the tables are about waiting, not about refusals.
+    options.slack = 1000.0;
+    return make_trace(options);
+}
+
+// Slot-seconds taken by each kind of occupant during the waits from the 99th percentile on, and their sum.
+std::pair<std::array<double, occupants>, double> causes_of_tail(const simulation_result& result) {
+    const double limit = percentile(result.short_waits, 0.99);
+    std::array<double, occupants> taken = {};
+    for (const short_wait& entry : result.short_wait_causes) {
+        for (std::size_t kind = 0; kind < occupants && entry.wait >= limit; ++kind) {
+            taken[kind] += entry.taken[kind];
+        }
+    }
+    return {taken, std::accumulate(taken.begin(), taken.end(), 0.0)};
+}
+
+// The true-class policy with the number of kept slots that gives the lowest p99 within 3% of work lost.
+std::pair<int, simulation_result> best_true_class(const serving_trace& trace, double work_first_come) {
+    constexpr double largest_loss = 0.03;
+    std::pair<int, simulation_result> best = {-1, {}};
+    for (int kept = 0; kept < trace.slots(); ++kept) {
+        simulation_result result = simulate(trace, *make_true_class_policy(trace, kept));
+        if (result.work_completed < (1.0 - largest_loss) * work_first_come) {
+            break;
+        }
+        if (best.first < 0 ||
+            percentile(result.short_waits, 0.99) < percentile(best.second.short_waits, 0.99)) {
+            best = {kept, std::move(result)};
+        }
+    }
+    return best;
+}
+
 }  // namespace
 
+void measure_wait_causes(std::uint64_t seed) {
+    table rows({"servers", "load", "p99 s", "long", "long as short", "overlong", "short", "first come p99 s",
+                "kept", "true class p99 s", "true class ratio", "true class lost"});
+    for (const int servers : {1, 3, 10}) {
+        for (const double load : {0.8, 0.95, 1.1}) {
+            const serving_trace trace = make_wait_trace(seed, servers, load);
+            const auto first_come = run_simple(trace, queue_order::first_come);
+            const auto scheduled = run_scheduler(trace, large_queue());
+            const auto [taken, sum] = causes_of_tail(scheduled);
+            const auto [kept, best] = best_true_class(trace, first_come.work_completed);
+            const double base = percentile(first_come.short_waits, 0.99);
+            const double best_p99 = percentile(best.short_waits, 0.99);
+            rows.add({absl::StrCat(servers), absl::StrCat(load),
+                      text(percentile(scheduled.short_waits, 0.99)), percent(taken[0] / sum),
+                      percent(taken[1] / sum), percent(taken[2] / sum), percent(taken[3] / sum), text(base),
+                      absl::StrCat(kept), text(best_p99),
+                      absl::StrFormat("%.1f", best_p99 > 0 ? base / best_p99 : 0.0),
+                      percent(1.0 - best.work_completed / first_come.work_completed)});
+        }
+    }
+    rows.print(absl::StrCat("What takes the slots during the longest waits of short work, seed ", seed));
+}
+
 void measure_short_wait(std::uint64_t seed) {
     table rows({"servers", "load", "policy", "p50 s", "p99 s", "p99.9 s", "short jobs", "jobs done",
                 "work done s", "p99 ratio", "work lost"});
     for (const int servers : {1, 3, 10}) {
         for (const double load : {0.8, 0.95, 1.1}) {
-            trace_options options{.seed = seed,
-                                  .servers = servers,
-                                  .horizon = 600.0,
-                                  .burst_load = load,
-                                  .burst_length = 600.0,
-                                  .burst_period = 600.0,
-                                  .short_share = 0.2};
-            // Deadlines do not matter here: the table is about waiting, not about refusals.
-            options.slack = 1000.0;
-            const serving_trace trace = make_trace(options);
+            const serving_trace trace = make_wait_trace(seed, servers, load);
             const auto first_come = run_simple(trace, queue_order::first_come);
             const auto scheduled = run_scheduler(trace, large_queue());
             const double base = percentile(first_come.short_waits, 0.99);
--- a/measure/support/serving_policy.cpp
+++ b/measure/support/serving_policy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 #include <limits>
 #include <set>
 #include <string>
@@ -61,6 +62,55 @@
     std::set<std::pair<double, std::size_t>> waiting_;
 };
 
+class true_class_policy final : public serving_policy {
+public:
+    true_class_policy(const serving_trace& trace, int kept_slots)
+        : trace_(trace),
+          long_limit_(trace.slots() - kept_slots),
+          free_(static_cast<std::size_t>(trace.servers), 8) {}
+
+    void arrived(std::size_t job, double /*now*/) override { waiting(job).push_back(job); }
+
+    std::optional<policy_choice> next(double /*now*/) override {
+        const auto most = std::max_element(free_.begin(), free_.end());
+        const bool is_long = short_.empty();
+        std::deque<std::size_t>& chosen = is_long ? long_ : short_;
+        if (*most == 0 || chosen.empty() || (is_long && long_running_ >= long_limit_)) {
+            return std::nullopt;
+        }
+        --*most;
+        long_running_ += is_long ? 1 : 0;
+        const std::size_t job = chosen.front();
+        chosen.pop_front();
+        return policy_choice{.job = job,
+                             .server = static_cast<int>(most - free_.begin()),
+                             .size = is_long ? size_class::long_work : size_class::short_work};
+    }
+
+    void ended(std::size_t job, int server, const attempt_result& result, double now) override {
+        ++free_[static_cast<std::size_t>(server)];
+        long_running_ -= is_long(job) ? 1 : 0;
+        if (!result.has_value() && may_retry(result.error().outcome, trace_.jobs[job].repeatable)) {
+            arrived(job, now);
+        }
+    }
+
+    double wake_up(double /*now*/) override { return never; }
+
+private:
+    bool is_long(std::size_t job) const {
+        return trace_.jobs[job].run_time > absl::ToDoubleSeconds(estimator_options{}.short_limit);
+    }
+    std::deque<std::size_t>& waiting(std::size_t job) { return is_long(job) ? long_ : short_; }
+
+    const serving_trace& trace_;
+    int long_limit_;
+    int long_running_ = 0;
+    std::vector<int> free_;
+    std::deque<std::size_t> short_;
+    std::deque<std::size_t> long_;
+};
+
 class scheduler_policy final : public serving_policy {
 public:
     scheduler_policy(const serving_trace& trace, const scheduler_policy_options& options)
@@ -93,7 +143,8 @@
             return std::nullopt;
         }
         return policy_choice{.job = number(chosen->request.value()),
-                             .server = static_cast<int>(number(chosen->instance.value()))};
+                             .server = static_cast<int>(number(chosen->instance.value())),
+                             .size = chosen->size};
     }
 
     void ended(std::size_t job, int server, const attempt_result& result, double now) override {
@@ -152,6 +203,10 @@
     return std::make_unique<simple_policy>(trace, order);
 }
 
+std::unique_ptr<serving_policy> make_true_class_policy(const serving_trace& trace, int kept_slots) {
+    return std::make_unique<true_class_policy>(trace, kept_slots);
+}
+
 std::unique_ptr<serving_policy> make_scheduler_policy(const serving_trace& trace,
                                                       scheduler_policy_options options) {
     return std::make_unique<scheduler_policy>(trace, options);
--- a/measure/support/serving_policy.h
+++ b/measure/support/serving_policy.h
@@ -15,6 +15,8 @@
 struct policy_choice {
     std::size_t job = 0;
     int server = 0;
+    // The class as which the policy counts the job at its start.
+    size_class size = size_class::short_work;
 };
 
 // Decides which job runs where. Times in seconds.
@@ -39,6 +41,10 @@
 // without a limit if that is allowed.
 std::unique_ptr<serving_policy> make_simple_policy(const serving_trace& trace, queue_order order);
 
+// Knows the class of each job by its true run time: short work goes first in the order of arrival, and long
+// work leaves `kept_slots` to it. Deadlines are ignored.
+std::unique_ptr<serving_policy> make_true_class_policy(const serving_trace& trace, int kept_slots);
+
 struct scheduler_policy_options {
     scheduler_options scheduler;
     bool ejection = true;
--- a/measure/support/serving_simulation.cpp
+++ b/measure/support/serving_simulation.cpp
@@ -15,10 +15,21 @@
     std::size_t job = 0;
     int server = 0;
     bool failed = false;
+    occupant kind = occupant::short_kind;
 
     bool operator>(const end_event& other) const { return time > other.time; }
 };
 
+// The limit of the short class of the scheduler in seconds.
+constexpr double short_limit = 1.0;
+
+occupant occupant_of(const traced_job& job, size_class size) {
+    if (job.short_kind) {
+        return job.run_time > short_limit ? occupant::overlong : occupant::short_kind;
+    }
+    return size == size_class::long_work ? occupant::long_kind : occupant::long_kind_as_short;
+}
+
 bool is_failing(const serving_trace& trace, int server, double now) {
     return std::any_of(trace.faults.begin(), trace.faults.end(), [&](const server_fault& fault) {
         return fault.server == server && fault.from <= now && now < fault.to;
@@ -30,7 +41,10 @@
 class simulation {
 public:
     simulation(const serving_trace& trace, serving_policy& policy)
-        : trace_(trace), policy_(policy), started_(trace.jobs.size(), 0) {}
+        : trace_(trace),
+          policy_(policy),
+          started_(trace.jobs.size(), 0),
+          taken_at_arrival_(trace.jobs.size()) {}
 
     simulation_result run() {
         while (true) {
@@ -40,10 +54,12 @@
             if (now == never) {
                 return std::move(result_);
             }
+            advance(now);
             if (now == end) {
                 finish(now);
             } else if (now == arrival) {
                 result_.short_jobs += trace_.jobs[arrived_].short_kind ? 1 : 0;
+                taken_at_arrival_[arrived_] = taken_;
                 policy_.arrived(arrived_++, now);
             }
             while (const auto choice = policy_.next(now)) {
@@ -54,6 +70,22 @@
     }
 
 private:
+    void advance(double now) {
+        for (std::size_t kind = 0; kind < occupants; ++kind) {
+            taken_[kind] += running_[kind] * (now - time_);
+        }
+        time_ = now;
+    }
+
+    void record_wait(std::size_t job, double now) {
+        short_wait entry{.wait = now - trace_.jobs[job].arrival};
+        for (std::size_t kind = 0; kind < occupants; ++kind) {
+            entry.taken[kind] = taken_[kind] - taken_at_arrival_[job][kind];
+        }
+        result_.short_waits.push_back(entry.wait);
+        result_.short_wait_causes.push_back(entry);
+    }
+
     double next_arrival() const {
         if (arrived_ < trace_.jobs.size()) {
             return trace_.jobs[arrived_].arrival;
@@ -74,18 +106,22 @@
         if (started_[choice.job]++ > 0) {
             ++result_.retries;
         } else if (job.short_kind) {
-            result_.short_waits.push_back(now - job.arrival);
+            record_wait(choice.job, now);
         }
         const bool fails = is_failing(trace_, choice.server, now);
+        const occupant kind = occupant_of(job, choice.size);
+        ++running_[static_cast<std::size_t>(kind)];
         ends_.push({.time = now + (fails ? failure_time : job.run_time),
                     .job = choice.job,
                     .server = choice.server,
-                    .failed = fails});
+                    .failed = fails,
+                    .kind = kind});
     }
 
     void finish(double now) {
         const end_event ended = ends_.top();
         ends_.pop();
+        --running_[static_cast<std::size_t>(ended.kind)];
         const traced_job& job = trace_.jobs[ended.job];
         if (ended.failed) {
             const auto event =
@@ -107,6 +143,11 @@
     const serving_trace& trace_;
     serving_policy& policy_;
     std::vector<int> started_;
+    // Slot-seconds taken by each kind of occupant until `time_`, and the slots that each takes since.
+    std::array<double, occupants> taken_ = {};
+    std::vector<std::array<double, occupants>> taken_at_arrival_;
+    std::array<int, occupants> running_ = {};
+    double time_ = 0.0;
     std::priority_queue<end_event, std::vector<end_event>, std::greater<>> ends_;
     std::size_t arrived_ = 0;
     double wake_up_ = never;
--- a/measure/support/serving_simulation.h
+++ b/measure/support/serving_simulation.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPASS_MEASURE_SUPPORT_SERVING_SIMULATION_H
 #define MASTICPASS_MEASURE_SUPPORT_SERVING_SIMULATION_H
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -9,6 +11,23 @@
 
 namespace masticpass::measure {
 
+// What runs in a slot, by the kind of the job and the class as which the policy started it.
+enum class occupant {
+    long_kind,
+    // A job of a long kind that was started as short work.
+    long_kind_as_short,
+    // A job of a short kind that runs longer than a second.
+    overlong,
+    short_kind,
+};
+inline constexpr std::size_t occupants = 4;
+
+struct short_wait {
+    double wait = 0.0;
+    // Slot-seconds taken by each kind of occupant during the wait.
+    std::array<double, occupants> taken = {};
+};
+
 struct simulation_result {
     // Worth of the jobs that completed before their deadline.
     double worth_on_time = 0.0;
@@ -20,6 +39,8 @@
     std::int64_t retries = 0;
     // Seconds from arrival to the first start of short work, for the jobs that started.
     std::vector<double> short_waits;
+    // The same waits with what took the slots.
+    std::vector<short_wait> short_wait_causes;
     std::int64_t short_jobs = 0;
 };
 
