Run short work in the order of submission while the queue has time

Short work was ordered by rank (worth per slot-second and deadline) at all loads. The order by rank now applies to short work only while requests had to be refused lately or a queued request is within 5 s of its latest start.

--- a/source/decision/serving/request_queue.cpp
+++ b/source/decision/serving/request_queue.cpp
@@ -44,6 +44,9 @@
     const queued_request& entry = *owned;
     requests_.emplace(entry.description.id, std::move(owned));
     by_rank_[class_index(entry.estimate.size)].insert(rank_place(entry));
+    if (entry.estimate.size == size_class::short_work) {
+        by_arrival_.insert(arrival_place(entry));
+    }
     by_start_.insert(start_place(entry));
     by_claim_.insert(claim_place(entry));
     work_ += entry.estimate.expected;
@@ -61,6 +64,7 @@
     const std::unique_ptr<queued_request> owned = std::move(found->second);
     requests_.erase(found);
     by_rank_[class_index(owned->estimate.size)].erase(rank_place(*owned));
+    by_arrival_.erase(arrival_place(*owned));
     by_start_.erase(start_place(*owned));
     by_claim_.erase(claim_place(*owned));
     work_ -= owned->estimate.expected;
@@ -73,6 +77,10 @@
     return ordered.empty() ? nullptr : ordered.begin()->request;
 }
 
+const queued_request* request_queue::first_submitted_short() const {
+    return by_arrival_.empty() ? nullptr : by_arrival_.begin()->request;
+}
+
 const queued_request* request_queue::least_claim() const {
     return by_claim_.empty() || !by_claim_.rbegin()->not_urgent ? nullptr : by_claim_.rbegin()->request;
 }
@@ -96,6 +104,13 @@
             .request = &request};
 }
 
+request_queue::place request_queue::arrival_place(const queued_request& request) {
+    return {.not_urgent = !request.description.urgent,
+            .key = 0.0,
+            .sequence = request.sequence,
+            .request = &request};
+}
+
 request_queue::place request_queue::claim_place(const queued_request& request) {
     return {.not_urgent = !request.description.urgent,
             .key = -request.claim(),
--- a/source/decision/serving/request_queue.h
+++ b/source/decision/serving/request_queue.h
@@ -56,6 +56,8 @@
 
     // The first request of a class; nullptr if there is none. Urgent requests come before all others.
     const queued_request* first(size_class size) const;
+    // The short request that was submitted first, urgent ones before all others; nullptr if there is none.
+    const queued_request* first_submitted_short() const;
     // The request with the least claim that is not urgent; nullptr if there is none.
     const queued_request* least_claim() const;
     // The request whose latest start comes first; nullptr if the queue is empty.
@@ -86,6 +88,7 @@
     using ordered_places = absl::btree_set<place>;
 
     static place rank_place(const queued_request& request);
+    static place arrival_place(const queued_request& request);
     static place claim_place(const queued_request& request);
     // Urgent requests expire like all others.
     static place start_place(const queued_request& request);
@@ -94,6 +97,8 @@
 
     absl::flat_hash_map<request_id, std::unique_ptr<queued_request>> requests_;
     std::array<ordered_places, 2> by_rank_;
+    // Short requests only.
+    ordered_places by_arrival_;
     ordered_places by_start_;
     // Highest claim first.
     ordered_places by_claim_;
--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -10,6 +10,9 @@
 // The service counts as overloaded while it had to refuse this many requests in about this time.
 constexpr absl::Duration overload_memory = absl::Seconds(5);
 constexpr double overload_refusals = 3.0;
+// Short work runs in the order of submission while no queued request is closer to its latest start than this.
+// With 1 or 2 s the order by rank takes effect too late in a burst, and less worth is done on time.
+constexpr absl::Duration least_time_left = absl::Seconds(5);
 
 // Whether the same request may succeed later because the load has fallen.
 bool is_caused_by_load(refusal_reason reason) {
@@ -219,8 +222,18 @@
     }
 }
 
+bool service_scheduler::has_time(absl::Time now) const {
+    const queued_request* const first = queue_.first_to_expire();
+    return !is_overloaded(now) && (first == nullptr || first->latest_start() - now >= least_time_left);
+}
+
+const queued_request* service_scheduler::first_in_order(size_class size, absl::Time now) const {
+    return size == size_class::short_work && has_time(now) ? queue_.first_submitted_short()
+                                                           : queue_.first(size);
+}
+
 const queued_request* service_scheduler::first_viable(size_class size, absl::Time now) {
-    while (const queued_request* const first = queue_.first(size)) {
+    while (const queued_request* const first = first_in_order(size, now)) {
         const run_time_estimate present =
             estimator_.estimate(first->description.kind, first->description.declared);
         // The estimate may have been made before the kind was measured.
@@ -264,10 +277,11 @@
 
 void service_scheduler::record_price(const queued_request& chosen, absl::Time now) {
     const auto goes_first = [&](size_class size) {
-        const queued_request* const other = queue_.first(size);
+        const queued_request* const other = first_in_order(size, now);
         return other == nullptr || !request_queue::goes_before(*other, chosen);
     };
-    // A request that the rules for the classes put before one of more value says nothing about the price.
+    // A request that the rules for the classes put before one of more value says nothing about the price. In
+    // the order of submission, short work of little value does start, so its value counts.
     if (goes_first(size_class::short_work) && goes_first(size_class::long_work)) {
         price_.dispatched(chosen.value(now), now);
     }
--- a/source/decision/serving/service_scheduler.h
+++ b/source/decision/serving/service_scheduler.h
@@ -91,6 +91,10 @@
     bool fits(std::size_t items, std::size_t bytes) const;
     void end_queued(const request_id& id, refusal_reason reason, std::string message);
     void count_overlong_as_long(absl::Time now);
+    // Whether all queued work is expected to start in time, so that short work runs in the order of
+    // submission.
+    bool has_time(absl::Time now) const;
+    const queued_request* first_in_order(size_class size, absl::Time now) const;
     // The first request of the class that can still meet its deadline.
     const queued_request* first_viable(size_class size, absl::Time now);
     const queued_request* choose_request(absl::Time now);
--- a/tests/decision/serving/service_scheduler_test.cpp
+++ b/tests/decision/serving/service_scheduler_test.cpp
@@ -66,6 +66,28 @@
     CHECK(next_id(scheduler).empty());
 }
 
+// Guards against short work of little worth or with a late deadline that is passed by all later short work
+// although everything can run in time, and against that order when a deadline is near.
+TEST_CASE("short work runs in the order of submission while all work has time") {
+    const auto submit_two = [](service_scheduler& scheduler, absl::Duration time_left) {
+        auto late = short_request("late");
+        late.worth = 0.1;
+        auto early = short_request("early");
+        early.deadline = start + time_left;
+        REQUIRE(scheduler.submit(late, start));
+        REQUIRE(scheduler.submit(early, start));
+    };
+    auto with_time = make_scheduler(2);
+    submit_two(with_time, absl::Seconds(20));
+    CHECK(next_id(with_time) == "late");
+    CHECK(next_id(with_time) == "early");
+
+    auto pressed = make_scheduler(2);
+    submit_two(pressed, absl::Seconds(4));
+    CHECK(next_id(pressed) == "early");
+    CHECK(next_id(pressed) == "late");
+}
+
 // Guards against long work that takes all slots under the name of short work.
 TEST_CASE("a request that runs longer than the short class counts as long") {
     auto scheduler = make_scheduler(2);
