Keep slots for short work while little long work waits

With 8 slots one kept slot is 12.5% of the capacity, so the limit on lost capacity (averaged over 60 s) let the kept slots alternate between none and three, at loads at which one or two kept slots cost nothing: long work only starts later. The slots are now kept, with a margin of 2 standard deviations and rounded to the nearest number, as long as the queued long work is below 20 s of all slots, falling to none at 20 s, unless requests had to be refused lately.

The new test fails without the change (test_decision_serving: 40 passed, 1 failed) and passes with it (41 passed).

--- a/source/decision/serving/class_share.cpp
+++ b/source/decision/serving/class_share.cpp
@@ -11,12 +11,18 @@
 constexpr absl::Duration use_memory = absl::Seconds(30);
 
 constexpr absl::Duration lost_memory = absl::Seconds(60);
+// Slots kept free beyond the mean load, in standard deviations of the number of short requests in service:
+// while little long work waits, and by the capacity lost.
+constexpr double margin_by_wait = 2.0;
+constexpr double margin_by_loss = 1.5;
+// Long work that waits for less than this time of all slots only starts later, so the slots kept from it lose
+// no throughput. With few slots, one kept slot exceeds the limits of lost capacity for a time even at a load
+// at which it costs nothing.
+constexpr absl::Duration accepted_wait = absl::Seconds(20);
 // The kept slots go down from all to none between these shares of lost capacity. The goal allows a loss of
 // 3%; a range instead of one limit lets the number of kept slots settle, where it would otherwise alternate.
-// Slots kept free beyond the mean load, in standard deviations of the number of short requests in service.
-constexpr double load_margin = 1.5;
-constexpr double least_lost_share = 0.02;
-constexpr double largest_lost_share = 0.03;
+constexpr double least_lost_share = 0.018;
+constexpr double largest_lost_share = 0.028;
 
 double remaining(absl::Time from, absl::Time to, absl::Duration memory) {
     return from == absl::InfinitePast() ? 0.0 : std::exp(-absl::FDivDuration(to - from, memory));
@@ -44,8 +50,10 @@
     present_lost_ = long_waits ? share : -share;
 }
 
-bool class_share::long_may_start(int long_running, int slots, absl::Time now) const {
-    return long_running < slots - kept_for_short(slots, now) || long_is_owed(long_running, slots, now);
+bool class_share::long_may_start(int long_running, absl::Duration long_waiting, int slots,
+                                 absl::Time now) const {
+    return long_running < slots - kept_for_short(long_waiting, slots, now) ||
+           long_is_owed(long_running, slots, now);
 }
 
 bool class_share::long_is_owed(int long_running, int slots, absl::Time now) const {
@@ -57,12 +65,21 @@
     return long_running == 0 && long_use(now) < long_share_;
 }
 
-int class_share::kept_for_short(int slots, absl::Time now) const {
+int class_share::kept_for_short(absl::Duration long_waiting, int slots, absl::Time now) const {
+    if (slots <= 0) {
+        return 0;
+    }
     const double load = short_load(now);
-    const double allowed = std::clamp(
+    const double deviation = std::sqrt(load);
+    const double by_loss = std::clamp(
         (largest_lost_share - lost_share(now)) / (largest_lost_share - least_lost_share), 0.0, 1.0);
-    const int wanted = static_cast<int>(allowed * (load + load_margin * std::sqrt(load)));
-    return std::clamp(wanted, 0, std::max(0, slots - 1));
+    const double by_wait =
+        std::clamp(1.0 - absl::FDivDuration(long_waiting, accepted_wait * slots), 0.0, 1.0);
+    const double wanted_by_loss = by_loss * (load + margin_by_loss * deviation);
+    const double wanted_by_wait = by_wait * (load + margin_by_wait * deviation);
+    const int wanted =
+        std::max(static_cast<int>(wanted_by_loss), static_cast<int>(std::round(wanted_by_wait)));
+    return std::min(wanted, slots - 1);
 }
 
 double class_share::short_load(absl::Time now) const {
--- a/source/decision/serving/class_share.h
+++ b/source/decision/serving/class_share.h
@@ -21,14 +21,16 @@
     // Records the slots that stay free from `now` on, and whether long work waits for them.
     void slots_are_free(int free_slots, int slots, bool long_waits, absl::Time now);
 
-    // Whether long work may take a slot while no short work waits.
-    bool long_may_start(int long_running, int slots, absl::Time now) const;
+    // Whether long work may take a slot while no short work waits. `long_waiting` is the expected slot time
+    // of the queued long work.
+    bool long_may_start(int long_running, absl::Duration long_waiting, int slots, absl::Time now) const;
 
     // Whether long work is to go before waiting short work.
     bool long_is_owed(int long_running, int slots, absl::Time now) const;
 
-    // Slots that long work leaves to short work. Fewer while much capacity was lost by that.
-    int kept_for_short(int slots, absl::Time now) const;
+    // Slots that long work leaves to short work. Fewer while both much long work waits and much capacity was
+    // lost by that.
+    int kept_for_short(absl::Duration long_waiting, int slots, absl::Time now) const;
 
 private:
     double short_load(absl::Time now) const;
--- a/source/decision/serving/request_queue.cpp
+++ b/source/decision/serving/request_queue.cpp
@@ -49,7 +49,7 @@
     }
     by_start_.insert(start_place(entry));
     by_claim_.insert(claim_place(entry));
-    work_ += entry.estimate.expected;
+    work_[class_index(entry.estimate.size)] += entry.estimate.expected;
     bytes_ += entry.description.bytes;
     return entry;
 }
@@ -67,7 +67,7 @@
     by_arrival_.erase(arrival_place(*owned));
     by_start_.erase(start_place(*owned));
     by_claim_.erase(claim_place(*owned));
-    work_ -= owned->estimate.expected;
+    work_[class_index(owned->estimate.size)] -= owned->estimate.expected;
     bytes_ -= owned->description.bytes;
     return std::move(*owned);
 }
--- a/source/decision/serving/request_queue.h
+++ b/source/decision/serving/request_queue.h
@@ -68,8 +68,9 @@
     // Whether `left` has more claim to a place in the queue than `right`.
     static bool has_more_claim(const queued_request& left, const queued_request& right);
 
-    // Expected slot time of all requests.
-    absl::Duration work() const { return work_; }
+    // Expected slot time of all requests, and of one class.
+    absl::Duration work() const { return work_[0] + work_[1]; }
+    absl::Duration work(size_class size) const { return work_[class_index(size)]; }
 
     std::size_t items() const { return requests_.size(); }
     std::size_t items(size_class size) const { return by_rank_[class_index(size)].size(); }
@@ -102,7 +103,7 @@
     ordered_places by_start_;
     // Highest claim first.
     ordered_places by_claim_;
-    absl::Duration work_;
+    std::array<absl::Duration, 2> work_;
     std::size_t bytes_ = 0;
 };
 
--- a/source/decision/serving/service_scheduler.cpp
+++ b/source/decision/serving/service_scheduler.cpp
@@ -272,7 +272,10 @@
         return is_overloaded(now) && request_queue::goes_before(*long_first, *short_first) ? long_first
                                                                                            : short_first;
     }
-    return share_.long_may_start(long_running_, slots, now) ? long_first : nullptr;
+    // Under overload, waiting costs work that expires.
+    const absl::Duration long_waiting =
+        is_overloaded(now) ? absl::InfiniteDuration() : queue_.work(size_class::long_work);
+    return share_.long_may_start(long_running_, long_waiting, slots, now) ? long_first : nullptr;
 }
 
 void service_scheduler::record_price(const queued_request& chosen, absl::Time now) {
--- a/tests/decision/serving/service_scheduler_test.cpp
+++ b/tests/decision/serving/service_scheduler_test.cpp
@@ -152,6 +152,41 @@
     CHECK(next_id(scheduler, now) == "short");
 }
 
+// Guards against kept slots that go to long work although little of it waits, and against slots that are kept
+// without a limit while much long work waits.
+TEST_CASE("slots stay kept while little long work waits, whatever was lost before") {
+    const auto long_running_after = [](int long_requests) {
+        auto scheduler = make_scheduler(8);
+        absl::Time now = start;
+        const auto dispatch_all = [&scheduler](absl::Time at) {
+            bool short_started = false;
+            while (const auto next = scheduler.next_dispatch(at)) {
+                short_started = short_started || next->size == size_class::short_work;
+            }
+            return short_started;
+        };
+        // The long work does not end, so slots kept free are lost capacity all the time.
+        for (int number = 0; number < 1'200; ++number, now += absl::Milliseconds(100)) {
+            // The load of short work is known before long work arrives.
+            for (int added = 0; number == 300 && added < long_requests; ++added) {
+                auto endless = long_request(absl::StrCat("long-", added));
+                endless.deadline = start + absl::Hours(1);
+                REQUIRE(scheduler.submit(endless, now));
+            }
+            const std::string id = absl::StrCat("short-", number);
+            REQUIRE(scheduler.submit(short_request(id), now));
+            if (!dispatch_all(now)) {
+                break;
+            }
+            REQUIRE(scheduler.attempt_ended(request_id(id), {}, now + absl::Milliseconds(90)));
+            dispatch_all(now + absl::Milliseconds(90));
+        }
+        return scheduler.long_running();
+    };
+    CHECK(long_running_after(12) == 6);
+    CHECK(long_running_after(200) == 7);
+}
+
 // Guards against new work on an instance that is ejected, leaving or reserved, and against uneven load.
 TEST_CASE("the instance with the most free slots that accepts work is chosen") {
     service_scheduler scheduler;
