--- a/tests/decision/serving/service_scheduler_test.cpp
+++ b/tests/decision/serving/service_scheduler_test.cpp
@@ -66,6 +66,28 @@
     CHECK(next_id(scheduler).empty());
 }
 
+// Guards against short work of little worth or with a late deadline that is passed by all later short work
+// although everything can run in time, and against that order when a deadline is near.
+TEST_CASE("short work runs in the order of submission while all work has time") {
+    const auto submit_two = [](service_scheduler& scheduler, absl::Duration time_left) {
+        auto late = short_request("late");
+        late.worth = 0.1;
+        auto early = short_request("early");
+        early.deadline = start + time_left;
+        REQUIRE(scheduler.submit(late, start));
+        REQUIRE(scheduler.submit(early, start));
+    };
+    auto with_time = make_scheduler(2);
+    submit_two(with_time, absl::Seconds(20));
+    CHECK(next_id(with_time) == "late");
+    CHECK(next_id(with_time) == "early");
+
+    auto pressed = make_scheduler(2);
+    submit_two(pressed, absl::Seconds(4));
+    CHECK(next_id(pressed) == "early");
+    CHECK(next_id(pressed) == "late");
+}
+
 // Guards against long work that takes all slots under the name of short work.
 TEST_CASE("a request that runs longer than the short class counts as long") {
     auto scheduler = make_scheduler(2);
@@ -130,6 +152,41 @@
     CHECK(next_id(scheduler, now) == "short");
 }
 
+// Guards against kept slots that go to long work although little of it waits, and against slots that are kept
+// without a limit while much long work waits.
+TEST_CASE("slots stay kept while little long work waits, whatever was lost before") {
+    const auto long_running_after = [](int long_requests) {
+        auto scheduler = make_scheduler(8);
+        absl::Time now = start;
+        const auto dispatch_all = [&scheduler](absl::Time at) {
+            bool short_started = false;
+            while (const auto next = scheduler.next_dispatch(at)) {
+                short_started = short_started || next->size == size_class::short_work;
+            }
+            return short_started;
+        };
+        // The long work does not end, so slots kept free are lost capacity all the time.
+        for (int number = 0; number < 1'200; ++number, now += absl::Milliseconds(100)) {
+            // The load of short work is known before long work arrives.
+            for (int added = 0; number == 300 && added < long_requests; ++added) {
+                auto endless = long_request(absl::StrCat("long-", added));
+                endless.deadline = start + absl::Hours(1);
+                REQUIRE(scheduler.submit(endless, now));
+            }
+            const std::string id = absl::StrCat("short-", number);
+            REQUIRE(scheduler.submit(short_request(id), now));
+            if (!dispatch_all(now)) {
+                break;
+            }
+            REQUIRE(scheduler.attempt_ended(request_id(id), {}, now + absl::Milliseconds(90)));
+            dispatch_all(now + absl::Milliseconds(90));
+        }
+        return scheduler.long_running();
+    };
+    CHECK(long_running_after(12) == 6);
+    CHECK(long_running_after(200) == 7);
+}
+
 // Guards against new work on an instance that is ejected, leaving or reserved, and against uneven load.
 TEST_CASE("the instance with the most free slots that accepts work is chosen") {
     service_scheduler scheduler;
