Ask backend servers for the state of overdue attempts and bound attempts

A request that must not be repeated waited on a silent connection until its deadline, and a server that sends its response headers byte by byte held an attempt beyond its time limit, since the read timeout applies to each read.

An entry VM now asks the server for the state of an overdue attempt on a new connection and ends the attempt as may-have-run (connection-silent) after two answers "unknown" that are at least 500 ms apart. It also ends an attempt that is 100 ms past its time limit (answer-timeout). Both close the connection from another thread.

The test "an attempt whose response headers arrive byte by byte ends at its time limit" has a limit of 300 ms.

--- a/source/application/entry_parts.cpp
+++ b/source/application/entry_parts.cpp
@@ -19,6 +19,7 @@
 // The entry VM that rendezvous hashing gives this key starts the moves of placement.
 constexpr std::string_view placement_key = "placement";
 constexpr absl::Duration tick_interval = absl::Milliseconds(5);
+constexpr absl::Duration supervision_interval = absl::Milliseconds(10);
 constexpr absl::Duration housekeeping_interval = absl::Seconds(1);
 constexpr absl::Duration process_check_time_limit = absl::Milliseconds(200);
 
@@ -304,11 +305,13 @@
         entry_fleet_service::parts{configured, self, time_source, fleet, *changes, *maintenance, *membership,
                                    [this] { return own_heartbeat(); }});
     ticker = std::make_unique<periodic_thread>(tick_interval, [this] { router.tick(); });
+    supervisor = std::make_unique<periodic_thread>(supervision_interval, [this] { router.supervise(); });
     housekeeper = std::make_unique<periodic_thread>(housekeeping_interval, [this] { housekeep(); });
 }
 
 void entry_parts::stop_agents() {
     housekeeper.reset();
+    supervisor.reset();
     ticker.reset();
     placement.reset();
     maintenance.reset();
--- a/source/application/entry_parts.h
+++ b/source/application/entry_parts.h
@@ -101,6 +101,7 @@
     std::unique_ptr<configuration_agent> changes;
     std::unique_ptr<entry_fleet_service> operator_calls;
     std::unique_ptr<periodic_thread> ticker;
+    std::unique_ptr<periodic_thread> supervisor;
     std::unique_ptr<periodic_thread> housekeeper;
     std::unique_ptr<caller_server> callers;
     std::unique_ptr<peer_server> peer_front;
--- a/source/backend/backend_client.h
+++ b/source/backend/backend_client.h
@@ -7,6 +7,7 @@
 #include <absl/time/time.h>
 #include <tl/expected.hpp>
 
+#include "common/attempt_state.h"
 #include "common/identifier.h"
 #include "common/verdict.h"
 
@@ -49,6 +50,14 @@
     not_probed,
 };
 
+// Why an attempt in flight is ended before its response.
+enum class attempt_end {
+    // The server does not know the attempt, so its connection is silent.
+    connection_silent,
+    // The attempt takes longer than its time limit.
+    time_limit,
+};
+
 // Sends requests to backend servers.
 // Thread safety: implementations allow calls from any thread.
 class backend_client {
@@ -64,6 +73,15 @@
 
     // Asks the server for its health over a new connection.
     virtual probe_result probe(std::string_view address, absl::Duration time_limit) = 0;
+
+    // Asks the server for the state of an attempt over a new connection.
+    virtual attempt_state ask(std::string_view address, const attempt_id& attempt,
+                              absl::Duration time_limit) = 0;
+
+    // Closes the connection of an attempt that another thread runs. Unless its response is complete by then,
+    // the attempt fails as `may_have_run` with the reason connection_silent or answer_timeout. Returns false,
+    // without effect, if no connection carries the attempt now.
+    virtual bool end_attempt(const attempt_id& attempt, attempt_end reason) = 0;
 };
 
 }  // namespace masticpass
--- a/source/backend/connection.h
+++ b/source/backend/connection.h
@@ -44,7 +44,7 @@
 
 // One HTTP connection to one backend server, opened by the first exchange.
 // Ownership: held by one thread during an exchange, by the connection pool while idle.
-// Thread safety: none; one thread at a time.
+// Thread safety: one thread at a time, but `end` may be called from any thread.
 class connection {
 public:
     // Fails with a message if `address` is not an IP address and a port. `permit` is given back when the
@@ -56,6 +56,9 @@
     // Sends one request and reads its response. After any error the connection must not be used again.
     tl::expected<httplib::Response, exchange_error> exchange(const exchange_request& request);
 
+    // Ends the exchange in progress, if any, with an error. The connection must not be used again.
+    void end() { client_.stop(); }
+
     // True if the connection is open and holds no unread bytes; unread bytes would be read as the next
     // response.
     bool is_reusable() const;
--- a/source/backend/http_backend_client.cpp
+++ b/source/backend/http_backend_client.cpp
@@ -43,6 +43,14 @@
     return failure(verdict::may_have_run, refusal_reason::internal_error, "unknown exchange error");
 }
 
+attempt_failure to_failure(attempt_end reason) {
+    if (reason == attempt_end::time_limit) {
+        return to_failure(exchange_error::timed_out);
+    }
+    return failure(verdict::may_have_run, refusal_reason::connection_silent,
+                   "the backend server does not know the attempt, so its connection is silent");
+}
+
 exchange_request to_exchange(const backend_request& request, absl::Duration time_limit) {
     exchange_request exchange;
     exchange.method = "POST";
@@ -106,12 +114,13 @@
     if (!link) {
         return tl::unexpected(std::move(link.error()));
     }
-    auto result = (*link)->exchange(to_exchange(request, deadline - clock_.now()));
+    auto [result, ended] = exchange(**link, request, deadline - clock_.now());
     if (!result) {
-        if (result.error() != exchange_error::not_sent) {
-            pool_.discard(request.address);
+        if (result.error() == exchange_error::not_sent) {
+            return tl::unexpected(to_failure(result.error()));
         }
-        return tl::unexpected(to_failure(result.error()));
+        pool_.discard(request.address);
+        return tl::unexpected(ended ? to_failure(*ended) : to_failure(result.error()));
     }
     const bool leaving = states_yes(*result, "Masticpass-Leaving");
     // A statement that names another attempt says nothing about this one.
@@ -126,7 +135,7 @@
         return tl::unexpected(failure(verdict::may_have_run, refusal_reason::answer_mismatched,
                                       "the response belongs to another attempt", leaving));
     }
-    if ((*link)->is_reusable()) {
+    if (!ended && (*link)->is_reusable()) {
         pool_.put_back(request.address, std::move(*link), clock_.now());
     }
     backend_response response;
@@ -137,6 +146,70 @@
     return response;
 }
 
+http_backend_client::exchange_end http_backend_client::exchange(connection& link,
+                                                                const backend_request& request,
+                                                                absl::Duration time_limit) {
+    const auto own = std::make_shared<attempt_in_flight>();
+    {
+        const absl::MutexLock lock(&own->mutex);
+        own->link = &link;
+    }
+    {
+        const absl::MutexLock lock(&in_flight_mutex_);
+        in_flight_.emplace(request.attempt, own);
+    }
+    auto result = link.exchange(to_exchange(request, time_limit));
+    {
+        const absl::MutexLock lock(&in_flight_mutex_);
+        in_flight_.erase(request.attempt);
+    }
+    const absl::MutexLock lock(&own->mutex);
+    own->link = nullptr;
+    return {std::move(result), own->ended};
+}
+
+bool http_backend_client::end_attempt(const attempt_id& attempt, attempt_end reason) {
+    std::shared_ptr<attempt_in_flight> found;
+    {
+        const absl::MutexLock lock(&in_flight_mutex_);
+        const auto entry = in_flight_.find(attempt);
+        if (entry == in_flight_.end()) {
+            return false;
+        }
+        found = entry->second;
+    }
+    // Under the attempt's own lock, since closing waits while the connection is being opened.
+    const absl::MutexLock lock(&found->mutex);
+    if (found->link == nullptr || found->ended) {
+        return false;
+    }
+    found->ended = reason;
+    found->link->end();
+    return true;
+}
+
+attempt_state http_backend_client::ask(std::string_view address, const attempt_id& attempt,
+                                       absl::Duration time_limit) {
+    auto link = open(address);
+    if (!link) {
+        return attempt_state::not_answered;
+    }
+    exchange_request question;
+    question.method = "GET";
+    question.path = "/health";
+    question.headers = {{"Masticpass-Attempt-Id", attempt.value()}};
+    question.time_limit = time_limit;
+    const auto result = (*link)->exchange(question);
+    if (!result) {
+        return attempt_state::not_answered;
+    }
+    const std::string stated = result->get_header_value("Masticpass-Attempt-State");
+    if (stated == "running") {
+        return attempt_state::running;
+    }
+    return stated == "unknown" ? attempt_state::unknown : attempt_state::not_stated;
+}
+
 probe_result http_backend_client::probe(std::string_view address, absl::Duration time_limit) {
     auto link = open(address);
     if (!link) {
--- a/source/backend/http_backend_client.h
+++ b/source/backend/http_backend_client.h
@@ -2,8 +2,13 @@
 #define MASTICPASS_BACKEND_HTTP_BACKEND_CLIENT_H
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
 #include "backend/backend_client.h"
 #include "backend/connection_pool.h"
 #include "backend/connection_quota.h"
@@ -27,11 +32,28 @@
 
     tl::expected<backend_response, attempt_failure> run(const backend_request& request) override;
     probe_result probe(std::string_view address, absl::Duration time_limit) override;
+    attempt_state ask(std::string_view address, const attempt_id& attempt,
+                      absl::Duration time_limit) override;
+    bool end_attempt(const attempt_id& attempt, attempt_end reason) override;
 
     // Closes connections that were idle for too long; to be called every second or so.
     void close_stale() { pool_.close_stale(clock_.now()); }
 
 private:
+    // An attempt whose request is on a connection.
+    struct attempt_in_flight {
+        absl::Mutex mutex;
+        // Null once the exchange is over.
+        connection* link ABSL_GUARDED_BY(mutex) = nullptr;
+        std::optional<attempt_end> ended ABSL_GUARDED_BY(mutex);
+    };
+    struct exchange_end {
+        tl::expected<httplib::Response, exchange_error> result;
+        // Set if end_attempt closed the connection.
+        std::optional<attempt_end> ended;
+    };
+
+    exchange_end exchange(connection& link, const backend_request& request, absl::Duration time_limit);
     tl::expected<std::unique_ptr<connection>, attempt_failure> connect(std::string_view address);
     tl::expected<std::unique_ptr<connection>, attempt_failure> open(std::string_view address);
     bool is_answering(connection& link) const;
@@ -40,6 +62,9 @@
     const clock& clock_;
     connection_quota& quota_;
     connection_pool pool_;
+    absl::Mutex in_flight_mutex_;
+    absl::flat_hash_map<attempt_id, std::shared_ptr<attempt_in_flight>> in_flight_
+        ABSL_GUARDED_BY(in_flight_mutex_);
 };
 
 }  // namespace masticpass
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -73,7 +73,9 @@
 }  // namespace
 
 request_router::request_router(const router_parts& parts, const once_options& once)
-    : parts_(parts), identities_(parts.self, once, parts.time_source) {}
+    : parts_(parts),
+      identities_(parts.self, once, parts.time_source),
+      supervisor_(parts.backends, parts.time_source, parts.metrics) {}
 
 request_result request_router::handle(const service_request& request) {
     const open_request open(open_requests_);
@@ -271,7 +273,9 @@
     attempt.content_type = request.content_type;
     attempt.body = request.body;
     attempt.time_limit = attempt_time_limit(request, work, start);
+    supervisor_.begin(attempt.attempt, server->address, work.suspect_after, attempt.time_limit);
     auto response = parts_.backends.run(attempt);
+    supervisor_.finish(attempt.attempt);
     parts_.ledger.release_slot(work.instance);
     if (const auto succeeded = success_of(response)) {
         service.shard->judge(work.instance, request.kind, *succeeded);
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -13,6 +13,7 @@
 #include "backend/backend_client.h"
 #include "common/clock.h"
 #include "peer/peer_client.h"
+#include "routing/attempt_supervisor.h"
 #include "routing/forwarding.h"
 #include "routing/identity_ledger.h"
 #include "routing/server_directory.h"
@@ -68,6 +69,10 @@
     // Ends expired requests; to be called every few milliseconds.
     void tick();
 
+    // Ends attempts that take too long and asks servers about overdue ones; to be called every 10 ms or so on
+    // a thread of its own. Takes up to 250 ms while an attempt is overdue.
+    void supervise() { supervisor_.step(); }
+
     // Probes ejected servers whose back-off has passed and notes ejections in the directory; to be called
     // every second or so. Takes up to the time limit of a probe for each.
     void check_ejected_servers();
@@ -122,6 +127,7 @@
     std::vector<std::shared_ptr<served>> removed_ ABSL_GUARDED_BY(services_mutex_);
     bool configured_ ABSL_GUARDED_BY(services_mutex_) = false;
     identity_ledger identities_;
+    attempt_supervisor supervisor_;
 };
 
 }  // namespace masticpass
--- a/tests/backend/http_backend_client_test.cpp
+++ b/tests/backend/http_backend_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -315,4 +316,71 @@
     CHECK(quota.open() == 0);
 }
 
+// Guards against an attempt that is ended, or a slot that is freed, without a statement of the server.
+TEST_CASE_FIXTURE(client_fixture, "only a header of the server states the state of an attempt") {
+    std::string stated;
+    std::string asked;
+    fakes::raw_server server([&](raw_connection& link, const std::string& request) {
+        asked = fakes::header_of(request, "Masticpass-Attempt-Id");
+        link.send("HTTP/1.1 200 OK\r\n" + stated + "Content-Length: 2\r\n\r\nok");
+    });
+    const std::string header = "Masticpass-Attempt-State: ";
+    const attempt_id attempt("a7");
+    CHECK(client->ask(server.address(), attempt, patient) == attempt_state::not_stated);
+    CHECK(asked == "a7");
+    stated = header + "running\r\n";
+    CHECK(client->ask(server.address(), attempt, patient) == attempt_state::running);
+    stated = header + "unknown\r\n";
+    CHECK(client->ask(server.address(), attempt, patient) == attempt_state::unknown);
+    stated = header + "paused\r\n";
+    CHECK(client->ask(server.address(), attempt, patient) == attempt_state::not_stated);
+    CHECK(server.connections() == 4);
+    CHECK(quota.open() == 0);
+
+    const fakes::raw_server silent([](raw_connection&, const std::string&) {});
+    CHECK(client->ask(silent.address(), attempt, impatient) == attempt_state::not_answered);
+    REQUIRE(quota.acquire_connection(""));
+    REQUIRE(quota.acquire_connection(""));
+    CHECK(client->ask(server.address(), attempt, patient) == attempt_state::not_answered);
+    CHECK(server.connections() == 4);
+}
+
+// Guards against an attempt on a silent connection that cannot be ended before its deadline, and against the
+// use of its connection for another request.
+TEST_CASE_FIXTURE(client_fixture, "an attempt that another thread ends fails with the reason of its end") {
+    struct ended_case {
+        attempt_end end;
+        refusal_reason reason;
+    };
+    for (const ended_case& ending :
+         {ended_case{attempt_end::connection_silent, refusal_reason::connection_silent},
+          ended_case{attempt_end::time_limit, refusal_reason::answer_timeout}}) {
+        std::atomic<bool> is_received = false;
+        std::atomic<bool> is_silent = true;
+        fakes::raw_server server([&](raw_connection& link, const std::string& request) {
+            is_received = true;
+            if (!is_silent) {
+                answer(link, request);
+            }
+        });
+        const attempt_id own("a" + std::to_string(attempts + 1));
+        auto result = std::async(std::launch::async, [&] { return run(server.address()); });
+        REQUIRE(fakes::wait_until([&] { return is_received.load(); }));
+        CHECK_FALSE(client->end_attempt(attempt_id("other"), ending.end));
+        CHECK(client->end_attempt(own, ending.end));
+        const auto ended = result.get();
+        REQUIRE_FALSE(ended.has_value());
+        CHECK(ended.error().cause.outcome == verdict::may_have_run);
+        CHECK(ended.error().cause.reason == ending.reason);
+        CHECK_FALSE(client->end_attempt(own, ending.end));
+        CHECK(quota.open() == 0);
+        is_silent = false;
+        check_own_response(server.address());
+        CHECK(server.connections() == 2);
+        // Makes room in the quota for the next case.
+        time.advance(absl::Seconds(6));
+        client->close_stale();
+    }
+}
+
 }  // namespace masticpass
--- /dev/null
+++ b/tests/decision/serving/attempt_watch_test.cpp
@@ -0,0 +1,122 @@
+#include "decision/serving/attempt_watch.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace masticpass {
+
+namespace {
+
+struct fixture {
+    const attempt_id attempt{"a1"};
+    const absl::Time start = absl::UnixEpoch();
+    const absl::Time overdue = start + absl::Seconds(1);
+    const absl::Time limit = start + absl::Minutes(1);
+    attempt_watch watch;
+
+    fixture() { watch.begin(attempt, overdue, limit); }
+
+    // Whether the attempt is asked about at this time and not 1 ms earlier.
+    bool is_asked_at(absl::Time time) {
+        return !watch.next_question(time - absl::Milliseconds(1)) && watch.next_question(time) == attempt;
+    }
+};
+
+}  // namespace
+
+// Guards against load on servers by attempts that take no longer than usual, and against questions about
+// attempts that have ended.
+TEST_CASE_FIXTURE(fixture, "an attempt is asked about when it is overdue and not after its end") {
+    CHECK(is_asked_at(overdue));
+    CHECK_FALSE(watch.next_question(limit));
+    watch.finish(attempt);
+    CHECK_FALSE(watch.answered(attempt, attempt_state::unknown, overdue));
+    CHECK_FALSE(watch.next_question(limit));
+    watch.begin(attempt_id("a2"), overdue, limit);
+    watch.finish(attempt_id("a2"));
+    CHECK_FALSE(watch.next_question(limit));
+    CHECK(watch.past_limit(limit).empty());
+}
+
+// Guards against the end of an attempt whose response is on its way when the server first answers `unknown`.
+TEST_CASE_FIXTURE(fixture, "two answers unknown at least 500 ms apart end an attempt, one does not") {
+    REQUIRE(is_asked_at(overdue));
+    CHECK_FALSE(watch.answered(attempt, attempt_state::unknown, overdue));
+    const absl::Time second = overdue + absl::Milliseconds(500);
+    REQUIRE(is_asked_at(second));
+    CHECK(watch.answered(attempt, attempt_state::unknown, second));
+}
+
+// Guards against the end of an attempt that the server runs: an answer `running` between two answers
+// `unknown` shows that the first one is out of date.
+TEST_CASE_FIXTURE(fixture, "the answer running takes back an earlier unknown, no answer does not") {
+    absl::Time now = overdue;
+    const auto answers = [&](attempt_state state) {
+        now += absl::Seconds(10);
+        REQUIRE(watch.next_question(now) == attempt);
+        return watch.answered(attempt, state, now);
+    };
+    CHECK_FALSE(answers(attempt_state::unknown));
+    CHECK_FALSE(answers(attempt_state::running));
+    CHECK_FALSE(answers(attempt_state::unknown));
+    CHECK_FALSE(answers(attempt_state::not_answered));
+    CHECK(answers(attempt_state::unknown));
+}
+
+// Guards against steady load on a server by a long job, and on one that does not answer.
+TEST_CASE_FIXTURE(fixture, "the interval doubles from 500 ms to 5 s while the server does not say unknown") {
+    absl::Time begins = overdue;
+    for (const attempt_state state : {attempt_state::running, attempt_state::not_answered}) {
+        absl::Time now = std::exchange(begins, overdue + absl::Minutes(1));
+        REQUIRE(is_asked_at(now));
+        for (const int milliseconds : {500, 1000, 2000, 4000, 5000, 5000}) {
+            CHECK_FALSE(watch.answered(attempt, state, now));
+            now += absl::Milliseconds(milliseconds);
+            CHECK(is_asked_at(now));
+        }
+        watch.finish(attempt);
+        watch.begin(attempt, overdue + absl::Minutes(1), limit + absl::Minutes(1));
+    }
+}
+
+// Guards against useless questions to servers that keep no track of their attempts, and against the end of
+// their attempts.
+TEST_CASE_FIXTURE(fixture, "an attempt is left alone when the server makes no statement") {
+    REQUIRE(is_asked_at(overdue));
+    CHECK_FALSE(watch.answered(attempt, attempt_state::not_stated, overdue));
+    CHECK_FALSE(watch.next_question(limit));
+    CHECK(watch.past_limit(limit) == std::vector{attempt});
+}
+
+// Guards against a burst of questions when many attempts become overdue at once.
+TEST_CASE("at most 100 questions are asked in a second, the most overdue attempt first") {
+    attempt_watch watch;
+    const absl::Time start = absl::UnixEpoch();
+    for (int index = 0; index < 500; ++index) {
+        watch.begin(attempt_id("a" + std::to_string(1000 - index)), start + absl::Microseconds(index),
+                    start + absl::Hours(1));
+    }
+    int asked = 0;
+    for (int millisecond = 0; millisecond < 1000; ++millisecond) {
+        const auto next = watch.next_question(start + absl::Milliseconds(millisecond));
+        if (next) {
+            CHECK(next->value() == "a" + std::to_string(1000 - asked));
+            ++asked;
+        }
+    }
+    CHECK(asked == 100);
+}
+
+// Guards against an attempt that holds its slot and its thread beyond its time limit.
+TEST_CASE_FIXTURE(fixture, "an attempt past its limit is reported once") {
+    CHECK(watch.past_limit(limit - absl::Milliseconds(1)).empty());
+    CHECK(watch.past_limit(limit) == std::vector{attempt});
+    CHECK(watch.past_limit(limit).empty());
+    watch.finish(attempt);
+    CHECK_FALSE(watch.next_question(limit));
+}
+
+}  // namespace masticpass
--- a/tests/fakes/fake_backend_client.h
+++ b/tests/fakes/fake_backend_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -32,6 +33,25 @@
 
     probe_result probe(std::string_view, absl::Duration) override { return probe_result::healthy; }
 
+    attempt_state ask(std::string_view, const attempt_id&, absl::Duration) override {
+        ++questions_;
+        return state_.load();
+    }
+
+    bool end_attempt(const attempt_id& attempt, attempt_end reason) override {
+        const absl::MutexLock lock(&mutex_);
+        ended_.emplace_back(attempt, reason);
+        return true;
+    }
+
+    // What `ask` answers.
+    void set_state(attempt_state state) { state_ = state; }
+    int questions() const { return questions_.load(); }
+    std::vector<std::pair<attempt_id, attempt_end>> ended() const {
+        const absl::MutexLock lock(&mutex_);
+        return ended_;
+    }
+
     void set_responder(responder respond) {
         const absl::MutexLock lock(&mutex_);
         respond_ = std::move(respond);
@@ -51,7 +71,10 @@
 
 private:
     std::atomic<int> runs_ = 0;
-    absl::Mutex mutex_;
+    std::atomic<int> questions_ = 0;
+    std::atomic<attempt_state> state_ = attempt_state::not_stated;
+    mutable absl::Mutex mutex_;
+    std::vector<std::pair<attempt_id, attempt_end>> ended_ ABSL_GUARDED_BY(mutex_);
     responder respond_ ABSL_GUARDED_BY(mutex_);
 };
 
--- /dev/null
+++ b/tests/routing/attempt_supervisor_test.cpp
@@ -0,0 +1,156 @@
+#include "routing/attempt_supervisor.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <absl/time/clock.h>
+#include <doctest/doctest.h>
+
+#include "backend/http_backend_client.h"
+#include "fakes/fake_backend_client.h"
+#include "fakes/manual_clock.h"
+#include "fakes/raw_server.h"
+#include "routing/slot_ledger.h"
+
+namespace masticpass {
+
+namespace {
+
+struct fixture {
+    const attempt_id attempt{"a1"};
+    fakes::manual_clock time;
+    fakes::fake_backend_client backends;
+    metrics_registry metrics;
+    attempt_supervisor supervisor{backends, time, metrics};
+
+    void begin(absl::Duration suspect_after) {
+        supervisor.begin(attempt, "127.0.0.1:1", suspect_after, absl::Seconds(20));
+    }
+    void step_after(absl::Duration duration) {
+        time.advance(duration);
+        supervisor.step();
+    }
+    std::uint64_t answers(const std::string& answer) const {
+        return metrics.counter({"masticpass_attempt_questions_total", "answer", answer});
+    }
+    std::uint64_t ended(const std::string& reason) const {
+        return metrics.counter({"masticpass_attempts_ended_total", "reason", reason});
+    }
+};
+
+using ended_attempts = std::vector<std::pair<attempt_id, attempt_end>>;
+
+}  // namespace
+
+// Guards against a silent connection that is found only at the deadline.
+TEST_CASE_FIXTURE(fixture, "an overdue attempt that the server does not know is ended") {
+    backends.set_state(attempt_state::unknown);
+    begin(absl::Seconds(1));
+    step_after(absl::Milliseconds(999));
+    CHECK(backends.questions() == 0);
+    step_after(absl::Milliseconds(1));
+    CHECK(backends.questions() == 1);
+    CHECK(backends.ended().empty());
+    step_after(absl::Milliseconds(500));
+    CHECK(backends.ended() == ended_attempts{{attempt, attempt_end::connection_silent}});
+    CHECK(answers("unknown") == 2);
+    CHECK(ended("connection-silent") == 1);
+    supervisor.finish(attempt);
+    step_after(absl::Seconds(30));
+    CHECK(backends.questions() == 2);
+    CHECK(backends.ended().size() == 1);
+}
+
+// Guards against questions about jobs that are short, whatever was learned of them.
+TEST_CASE_FIXTURE(fixture, "an attempt is not asked about in its first 500 ms") {
+    begin(absl::Milliseconds(1));
+    step_after(absl::Milliseconds(499));
+    CHECK(backends.questions() == 0);
+    step_after(absl::Milliseconds(1));
+    CHECK(backends.questions() == 1);
+}
+
+// Guards against an end of a job that only takes longer than learned.
+TEST_CASE_FIXTURE(fixture, "an attempt that the server runs or does not speak of goes on to its limit") {
+    for (const auto& [state, answer] :
+         {std::pair{attempt_state::running, "running"}, std::pair{attempt_state::not_stated, "not-stated"},
+          std::pair{attempt_state::not_answered, "not-answered"}}) {
+        backends.set_state(state);
+        begin(absl::Seconds(1));
+        for (int second = 0; second < 20; ++second) {
+            step_after(absl::Seconds(1));
+        }
+        CHECK(answers(answer) > 0);
+        CHECK(backends.ended().empty());
+        supervisor.finish(attempt);
+    }
+}
+
+// Guards against an attempt that exceeds its time limit, which the connection's own timeouts do not bound
+// while the server sends a byte now and then.
+TEST_CASE_FIXTURE(fixture, "an attempt beyond its time limit is ended") {
+    begin(absl::Minutes(1));
+    step_after(absl::Seconds(20));
+    CHECK(backends.ended().empty());
+    step_after(absl::Milliseconds(100));
+    CHECK(backends.ended() == ended_attempts{{attempt, attempt_end::time_limit}});
+    CHECK(ended("answer-timeout") == 1);
+    CHECK(backends.questions() == 0);
+}
+
+// Guards against a server that holds an attempt beyond its time limit by sending its response headers byte by
+// byte, each within the read timeout of the connection.
+TEST_CASE("an attempt whose response headers arrive byte by byte ends at its time limit") {
+    constexpr absl::Duration time_limit = absl::Milliseconds(300);
+    constexpr absl::Duration byte_interval = absl::Milliseconds(50);
+    std::atomic<bool> is_ended = false;
+    const fakes::raw_server server([&](fakes::raw_connection& link, const std::string&) {
+        link.send("HTTP/1.1 200 OK\r\nX: ");
+        for (int byte = 0; byte < 100 && !is_ended; ++byte) {
+            link.send("x");
+            absl::SleepFor(byte_interval);
+        }
+        link.close();
+    });
+    const incarnation_id self("i1");
+    slot_ledger ledger(self);
+    ledger.apply({.epoch = 1, .members = {{entry_id("e1"), self, 1}}});
+    ledger.set_addresses({{vm_id("v1"), server.address()}});
+    const monotonic_clock time;
+    metrics_registry metrics;
+    http_backend_client client({}, time, ledger);
+    attempt_supervisor supervisor(client, time, metrics);
+    std::atomic<bool> is_stopped = false;
+    std::thread stepping([&] {
+        while (!is_stopped) {
+            supervisor.step();
+            absl::SleepFor(absl::Milliseconds(10));
+        }
+    });
+
+    const std::string address = server.address();
+    backend_request request;
+    request.address = address;
+    request.attempt = attempt_id("a1");
+    request.content_type = "text/plain";
+    request.time_limit = time_limit;
+    const absl::Time start = time.now();
+    supervisor.begin(request.attempt, address, absl::Minutes(1), time_limit);
+    const auto result = client.run(request);
+    const absl::Duration elapsed = time.now() - start;
+    supervisor.finish(request.attempt);
+    is_ended = true;
+    is_stopped = true;
+    stepping.join();
+
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error().cause.outcome == verdict::may_have_run);
+    CHECK(result.error().cause.reason == refusal_reason::answer_timeout);
+    CHECK(elapsed >= time_limit);
+    CHECK(elapsed < absl::Seconds(2));
+}
+
+}  // namespace masticpass
--- a/tests/standin/backend_standin.cpp
+++ b/tests/standin/backend_standin.cpp
@@ -134,14 +134,23 @@
     httplib::Server server;
     set_options(server);
     server.Post("/run", [&state](const httplib::Request& request, httplib::Response& response) {
+        // A silent connection delivers nothing, so its request counts as not received.
         state.wait_while_silent(request.remote_port);
+        const std::string attempt = request.get_header_value("Masticpass-Attempt-Id");
+        state.attempt_received(attempt);
         run_job(state, request, response);
+        state.attempt_answered(attempt);
     });
     server.Get("/health", [&state](const httplib::Request& request, httplib::Response& response) {
         state.wait_while_silent(request.remote_port);
         if (state.behaviour().leaving) {
             response.set_header("Masticpass-Leaving", "yes");
         }
+        if (request.has_header("Masticpass-Attempt-Id")) {
+            const bool is_running =
+                state.is_attempt_running(request.get_header_value("Masticpass-Attempt-Id"));
+            response.set_header("Masticpass-Attempt-State", is_running ? "running" : "unknown");
+        }
         response.set_content("ok", "text/plain");
     });
     add_control(state, server);
--- a/tests/standin/backend_state.cpp
+++ b/tests/standin/backend_state.cpp
@@ -56,6 +56,21 @@
     completed_ += completed && !job.empty() ? 1 : 0;
 }
 
+void backend_state::attempt_received(const std::string& attempt) {
+    const absl::MutexLock lock(&mutex_);
+    attempts_.insert(attempt);
+}
+
+void backend_state::attempt_answered(const std::string& attempt) {
+    const absl::MutexLock lock(&mutex_);
+    attempts_.erase(attempt);
+}
+
+bool backend_state::is_attempt_running(const std::string& attempt) const {
+    const absl::MutexLock lock(&mutex_);
+    return attempts_.contains(attempt);
+}
+
 void backend_state::wait_until_idle() {
     const absl::MutexLock lock(&mutex_);
     mutex_.Await(absl::Condition(this, &backend_state::is_idle));
--- a/tests/standin/backend_state.h
+++ b/tests/standin/backend_state.h
@@ -43,6 +43,11 @@
     bool begin(const std::string& job, int remote_port);
     void end(const std::string& job, bool completed);
 
+    // Counts an attempt as received until `attempt_answered`.
+    void attempt_received(const std::string& attempt);
+    void attempt_answered(const std::string& attempt);
+    bool is_attempt_running(const std::string& attempt) const;
+
     // Blocks until no job runs.
     void wait_until_idle();
 
@@ -62,6 +67,7 @@
     std::set<int> seen_ports_ ABSL_GUARDED_BY(mutex_);
     std::set<int> silent_ports_ ABSL_GUARDED_BY(mutex_);
     std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
+    std::set<std::string> attempts_ ABSL_GUARDED_BY(mutex_);
     std::uint64_t completed_ ABSL_GUARDED_BY(mutex_) = 0;
 };
 
