--- a/measure/support/process_usage.cpp
+++ b/measure/support/process_usage.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // The values of /proc/<id>/stat after the name of the program, which may contain spaces.
-std::vector<std::string> stat_values(pidt id) {
+std::vector<std::string> stat_values(pid_t id) {
     std::ifstream file("/proc/" + std::to_string(id) + "/stat");
     std::string line;
     std::getline(file, line);
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-process_usage usage_of(pidt id) {
+process_usage usage_of(pid_t id) {
     // Positions after the program's name, see proc(5): utime 11, stime 12, num_threads 17.
     constexpr std::size_t user_ticks = 11;
     constexpr std::size_t system_ticks = 12;
