Keep the slot of an attempt that ended without a response

After a timeout or a lost connection, the slot was free at once although the server may still run the request. The next request was then sent to a server without a free slot and refused there.

The slot now stays taken, and the instance unsettled if need be, until the server states "unknown", makes no statement, has another boot identity or is gone. Questions to a server that the probes do not reach are left out, since each would take 250 ms of the one thread that asks. Abandoned slots do not count for a drain and a planned stop, so a server that never answers again keeps no VM from being rebooted.

--- a/source/decision/serving/attempt_watch.h
+++ b/source/decision/serving/attempt_watch.h
@@ -23,9 +23,18 @@
     absl::Duration question_spacing = absl::Milliseconds(10);
 };
 
-// Decides when a backend server is asked for the state of an attempt in flight, and which attempts are ended
-// without a response. A call costs the logarithm of the number of attempts. Thread safety: none; the caller
-// holds a lock.
+enum class watch_action {
+    none,
+    // The connection of the attempt is silent: the attempt is to be ended.
+    end_attempt,
+    // The server no longer runs the abandoned attempt: its slot is to be released, and it is not watched any
+    // more.
+    release_slot,
+};
+
+// Decides when a backend server is asked for the state of an attempt, which attempts are ended without a
+// response, and how long an abandoned attempt, which ended without one, keeps its slot. A call costs the
+// logarithm of the number of attempts. Thread safety: none; the caller holds a lock.
 class attempt_watch {
 public:
     explicit attempt_watch(const watch_options& options = {}) : options_(options) {}
@@ -33,15 +42,18 @@
     // Watches an attempt that is asked about from `overdue` on and ended at `limit`. The id must be new.
     void begin(const attempt_id& attempt, absl::Time overdue, absl::Time limit);
 
-    // Forgets an attempt that has ended.
+    // Goes on watching an attempt that ended without a response, until its slot is released. It is asked
+    // about from `now` on. The attempt must be watched.
+    void abandon(const attempt_id& attempt, absl::Time now);
+
+    // Forgets an attempt, for one that has ended or whose slot is released for another reason.
     void finish(const attempt_id& attempt);
 
     // The attempt to ask about now, if any; the caller reports the answer with `answered`.
     std::optional<attempt_id> next_question(absl::Time now);
 
-    // Takes an answer; true if the attempt is to be ended because its connection is silent. An attempt that
-    // has ended meanwhile is ignored.
-    [[nodiscard]] bool answered(const attempt_id& attempt, attempt_state state, absl::Time now);
+    // Takes an answer. An attempt that is not watched any more is ignored.
+    [[nodiscard]] watch_action answered(const attempt_id& attempt, attempt_state state, absl::Time now);
 
     // The attempts whose limit has passed; each is returned once.
     std::vector<attempt_id> past_limit(absl::Time now);
@@ -53,12 +65,13 @@
         absl::Duration interval;
         // When the server first answered `unknown`, unless it answered `running` afterwards.
         std::optional<absl::Time> unknown_since;
+        bool is_abandoned = false;
     };
     using schedule = absl::btree_set<std::pair<absl::Time, attempt_id>>;
 
     void ask_at(const attempt_id& attempt, watched& state, absl::Time time);
 
-    const watch_options options_;
+    watch_options options_;
     absl::Time next_question_ = absl::InfinitePast();
     absl::flat_hash_map<attempt_id, watched> attempts_;
     schedule questions_;
--- a/source/routing/attempt_supervisor.cpp
+++ b/source/routing/attempt_supervisor.cpp
@@ -16,54 +16,82 @@
 
 }  // namespace
 
-void attempt_supervisor::begin(const attempt_id& attempt, const std::string& address,
+void attempt_supervisor::begin(const attempt_id& attempt, const server_state& server,
                                absl::Duration suspect_after, absl::Duration time_limit) {
     const absl::Time now = clock_.now();
     const absl::MutexLock lock(&mutex_);
     watch_.begin(attempt, now + std::max(suspect_after, least_suspicion), now + time_limit + limit_tolerance);
-    addresses_.emplace(attempt, address);
+    servers_.emplace(attempt, attempt_server{server.vm, server.boot, server.address});
 }
 
 void attempt_supervisor::finish(const attempt_id& attempt) {
     const absl::MutexLock lock(&mutex_);
     watch_.finish(attempt);
-    addresses_.erase(attempt);
+    servers_.erase(attempt);
+}
+
+void attempt_supervisor::abandon(const attempt_id& attempt) {
+    const absl::MutexLock lock(&mutex_);
+    watch_.abandon(attempt, clock_.now());
+    servers_.at(attempt).is_abandoned = true;
 }
 
 void attempt_supervisor::step() {
     const absl::Time now = clock_.now();
     std::vector<attempt_id> too_long;
     std::optional<attempt_id> overdue;
-    std::string address;
+    attempt_server server;
     {
         const absl::MutexLock lock(&mutex_);
         too_long = watch_.past_limit(now);
         overdue = watch_.next_question(now);
         if (overdue) {
-            address = addresses_.at(*overdue);
+            server = servers_.at(*overdue);
         }
     }
     for (const attempt_id& attempt : too_long) {
         end(attempt, attempt_end::time_limit);
     }
-    if (overdue) {
-        ask(*overdue, address);
+    if (!overdue) {
+        return;
+    }
+    const auto present = directory_.find(server.vm);
+    if (server.is_abandoned && (!present || present->boot != server.boot)) {
+        release(*overdue, server, "server-gone");
+    } else if (present && present->unreachable) {
+        // The answer of the probes, without a wait that would delay the questions to other servers.
+        take_answer(*overdue, server, attempt_state::not_answered);
+    } else {
+        ask(*overdue, server);
     }
 }
 
-void attempt_supervisor::ask(const attempt_id& attempt, const std::string& address) {
-    const attempt_state state = backends_.ask(address, attempt, question_time_limit);
+void attempt_supervisor::ask(const attempt_id& attempt, const attempt_server& server) {
+    const attempt_state state = backends_.ask(server.address, attempt, question_time_limit);
     metrics_.count({"masticpass_attempt_questions_total", "answer", std::string(to_string(state))});
-    bool is_silent = false;
+    take_answer(attempt, server, state);
+}
+
+void attempt_supervisor::take_answer(const attempt_id& attempt, const attempt_server& server,
+                                     attempt_state state) {
+    watch_action action = watch_action::none;
     {
         const absl::MutexLock lock(&mutex_);
-        is_silent = watch_.answered(attempt, state, clock_.now());
+        action = watch_.answered(attempt, state, clock_.now());
     }
-    if (is_silent) {
+    if (action == watch_action::end_attempt) {
         end(attempt, attempt_end::connection_silent);
+    } else if (action == watch_action::release_slot) {
+        release(attempt, server, state == attempt_state::unknown ? "unknown" : "not-stated");
     }
 }
 
+void attempt_supervisor::release(const attempt_id& attempt, const attempt_server& server, const char* cause) {
+    finish(attempt);
+    ledger_.release_abandoned_slot(server.vm);
+    metrics_.count({"masticpass_abandoned_slots_released_total", "cause", cause});
+}
+
 void attempt_supervisor::end(const attempt_id& attempt, attempt_end reason) {
     if (backends_.end_attempt(attempt, reason)) {
         const char* label = reason == attempt_end::time_limit ? "answer-timeout" : "connection-silent";
--- a/source/routing/attempt_supervisor.h
+++ b/source/routing/attempt_supervisor.h
@@ -11,42 +11,64 @@
 #include "backend/backend_client.h"
 #include "common/clock.h"
 #include "decision/serving/attempt_watch.h"
+#include "routing/server_directory.h"
+#include "routing/slot_ledger.h"
 #include "telemetry/metrics.h"
 
 namespace masticpass {
 
 // Asks backend servers for the state of overdue attempts and ends those on a silent connection and those that
-// exceed their time limit.
-// Ownership: borrows everything passed in.
-// Thread safety: `begin` and `finish` may be called from any thread, `step` from one thread.
+// exceed their time limit. Releases the slots of abandoned attempts, which ended without a response, once
+// their servers no longer run them. Ownership: borrows everything passed in. Thread safety: `begin` and
+// `finish` may be called from any thread, `step` from one thread.
 class attempt_supervisor {
 public:
-    attempt_supervisor(backend_client& backends, const clock& time_source, metrics_registry& metrics)
-        : backends_(backends), clock_(time_source), metrics_(metrics) {}
+    attempt_supervisor(backend_client& backends, const server_directory& directory, slot_ledger& ledger,
+                       const clock& time_source, metrics_registry& metrics)
+        : backends_(backends),
+          directory_(directory),
+          ledger_(ledger),
+          clock_(time_source),
+          metrics_(metrics) {}
 
-    // Notes an attempt that begins now. It is overdue after `suspect_after`, or after 500 ms if that is
-    // longer, and may take `time_limit`.
-    void begin(const attempt_id& attempt, const std::string& address, absl::Duration suspect_after,
+    // Notes an attempt that begins now on this server. It is overdue after `suspect_after`, or after 500 ms
+    // if that is longer, and may take `time_limit`.
+    void begin(const attempt_id& attempt, const server_state& server, absl::Duration suspect_after,
                absl::Duration time_limit);
 
-    // Notes the end of an attempt.
+    // Notes the end of an attempt. The caller releases its slot.
     void finish(const attempt_id& attempt);
 
+    // Notes the end of an attempt that the server may still run. Its slot, abandoned in the ledger, is
+    // released here when the server states that it does not run the attempt, makes no statement, has another
+    // boot identity or is gone.
+    void abandon(const attempt_id& attempt);
+
     // Ends attempts beyond their time limit and asks about at most one overdue attempt, which takes up to
     // 250 ms; to be called every 10 ms or so.
     void step();
 
 private:
+    struct attempt_server {
+        vm_id vm;
+        boot_id boot;
+        std::string address;
+        bool is_abandoned = false;
+    };
+
     void end(const attempt_id& attempt, attempt_end reason);
-    void ask(const attempt_id& attempt, const std::string& address);
+    void ask(const attempt_id& attempt, const attempt_server& server);
+    void take_answer(const attempt_id& attempt, const attempt_server& server, attempt_state state);
+    void release(const attempt_id& attempt, const attempt_server& server, const char* cause);
 
     backend_client& backends_;
+    const server_directory& directory_;
+    slot_ledger& ledger_;
     const clock& clock_;
     metrics_registry& metrics_;
     absl::Mutex mutex_;
     attempt_watch watch_ ABSL_GUARDED_BY(mutex_);
-    // The addresses of the servers of the attempts in flight.
-    absl::flat_hash_map<attempt_id, std::string> addresses_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<attempt_id, attempt_server> servers_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace masticpass
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -35,6 +35,16 @@
     return false;
 }
 
+// Whether the server may still run an attempt that ended without a response. A server on a silent connection
+// has stated that it does not.
+bool may_still_run(const tl::expected<backend_response, attempt_failure>& response) {
+    if (response) {
+        return false;
+    }
+    const refusal_reason reason = response.error().cause.reason;
+    return reason == refusal_reason::answer_timeout || reason == refusal_reason::connection_lost;
+}
+
 // Whether a repeatable request that another entry VM did not answer, or refused as not run, may run here.
 bool may_run_here_after(const refusal& forwarded) {
     return forwarded.outcome == verdict::not_run || forwarded.reason == refusal_reason::peer_unreachable;
@@ -75,7 +85,7 @@
 request_router::request_router(const router_parts& parts, const once_options& once)
     : parts_(parts),
       identities_(parts.self, once, parts.time_source),
-      supervisor_(parts.backends, parts.time_source, parts.metrics) {}
+      supervisor_(parts.backends, parts.directory, parts.ledger, parts.time_source, parts.metrics) {}
 
 request_result request_router::handle(const service_request& request) {
     const open_request open(open_requests_);
@@ -273,10 +283,15 @@
     attempt.content_type = request.content_type;
     attempt.body = request.body;
     attempt.time_limit = attempt_time_limit(request, work, start);
-    supervisor_.begin(attempt.attempt, server->address, work.suspect_after, attempt.time_limit);
+    supervisor_.begin(attempt.attempt, *server, work.suspect_after, attempt.time_limit);
     auto response = parts_.backends.run(attempt);
-    supervisor_.finish(attempt.attempt);
-    parts_.ledger.release_slot(work.instance);
+    if (may_still_run(response)) {
+        parts_.ledger.abandon_slot(work.instance);
+        supervisor_.abandon(attempt.attempt);
+    } else {
+        supervisor_.finish(attempt.attempt);
+        parts_.ledger.release_slot(work.instance);
+    }
     if (const auto succeeded = success_of(response)) {
         service.shard->judge(work.instance, request.kind, *succeeded);
     }
--- a/source/routing/slot_ledger.cpp
+++ b/source/routing/slot_ledger.cpp
@@ -1,5 +1,9 @@
 #include "routing/slot_ledger.h"
 
+#include <algorithm>
+
+#include "common/invariant.h"
+
 namespace masticpass {
 
 void slot_ledger::set_addresses(const std::map<vm_id, std::string>& addresses) {
@@ -51,7 +55,9 @@
 
 int slot_ledger::usable_slots(const vm_id& instance) {
     const absl::MutexLock lock(&mutex_);
-    return allotment_.usable_slots(instance);
+    const auto abandoned = abandoned_.find(instance);
+    const int taken = abandoned == abandoned_.end() ? 0 : abandoned->second;
+    return std::max(0, allotment_.usable_slots(instance) - taken);
 }
 
 bool slot_ledger::acquire_slot(const vm_id& instance) {
@@ -66,6 +72,28 @@
 void slot_ledger::release_slot(const vm_id& instance) {
     const absl::MutexLock lock(&mutex_);
     allotment_.release_slot(instance);
+    request_ended(instance);
+}
+
+void slot_ledger::abandon_slot(const vm_id& instance) {
+    const absl::MutexLock lock(&mutex_);
+    request_ended(instance);
+    ++abandoned_[instance];
+    ++version_;
+}
+
+void slot_ledger::release_abandoned_slot(const vm_id& instance) {
+    const absl::MutexLock lock(&mutex_);
+    const auto found = abandoned_.find(instance);
+    check_invariant(found != abandoned_.end(), "a slot that is released was abandoned");
+    allotment_.release_slot(instance);
+    if (--found->second == 0) {
+        abandoned_.erase(found);
+    }
+    ++version_;
+}
+
+void slot_ledger::request_ended(const vm_id& instance) {
     const auto found = in_flight_.find(instance);
     if (--found->second == 0) {
         in_flight_.erase(found);
--- a/source/routing/slot_ledger.h
+++ b/source/routing/slot_ledger.h
@@ -38,12 +38,19 @@
     std::uint64_t epoch() const;
     // Increases when the slots that may be used can have changed.
     std::uint64_t version() const { return version_; }
+    // Slots that may be used now, those in use included and abandoned ones excluded.
     int usable_slots(const vm_id& instance);
     [[nodiscard]] bool acquire_slot(const vm_id& instance);
     void release_slot(const vm_id& instance);
 
+    // Notes that the request on an acquired slot has ended although the server may still run it. The slot
+    // stays taken, also for settlement, until release_abandoned_slot.
+    void abandon_slot(const vm_id& instance);
+    void release_abandoned_slot(const vm_id& instance);
+
     // True if the VM is blocked and no request of this entry VM is in flight on it, so that none can start
-    // there.
+    // there. Abandoned slots do not count, since a server that never answers again would keep its VM from
+    // being rebooted.
     bool is_drained(const vm_id& instance) const;
     // Requests of this entry VM in flight on all VMs.
     int in_flight() const;
@@ -53,6 +60,8 @@
     void release_connection(std::string_view address) override;
 
 private:
+    void request_ended(const vm_id& instance) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
     std::atomic<std::uint64_t> version_ = 0;
     mutable absl::Mutex mutex_;
     slot_allotment allotment_ ABSL_GUARDED_BY(mutex_);
@@ -60,6 +69,7 @@
     absl::flat_hash_map<incarnation_id, settlement> announced_ ABSL_GUARDED_BY(mutex_);
     std::set<vm_id> blocked_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<vm_id, int> in_flight_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<vm_id, int> abandoned_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<std::string, vm_id> instances_ ABSL_GUARDED_BY(mutex_);
     // The VM that each open connection was counted for, since an address can pass to another VM meanwhile.
     absl::flat_hash_map<std::string, std::vector<vm_id>> connections_ ABSL_GUARDED_BY(mutex_);
--- a/tests/decision/serving/attempt_watch_test.cpp
+++ b/tests/decision/serving/attempt_watch_test.cpp
@@ -33,7 +33,7 @@
     CHECK(is_asked_at(overdue));
     CHECK_FALSE(watch.next_question(limit));
     watch.finish(attempt);
-    CHECK_FALSE(watch.answered(attempt, attempt_state::unknown, overdue));
+    CHECK(watch.answered(attempt, attempt_state::unknown, overdue) == watch_action::none);
     CHECK_FALSE(watch.next_question(limit));
     watch.begin(attempt_id("a2"), overdue, limit);
     watch.finish(attempt_id("a2"));
@@ -44,10 +44,10 @@
 // Guards against the end of an attempt whose response is on its way when the server first answers `unknown`.
 TEST_CASE_FIXTURE(fixture, "two answers unknown at least 500 ms apart end an attempt, one does not") {
     REQUIRE(is_asked_at(overdue));
-    CHECK_FALSE(watch.answered(attempt, attempt_state::unknown, overdue));
+    CHECK(watch.answered(attempt, attempt_state::unknown, overdue) == watch_action::none);
     const absl::Time second = overdue + absl::Milliseconds(500);
     REQUIRE(is_asked_at(second));
-    CHECK(watch.answered(attempt, attempt_state::unknown, second));
+    CHECK(watch.answered(attempt, attempt_state::unknown, second) == watch_action::end_attempt);
 }
 
 // Guards against the end of an attempt that the server runs: an answer `running` between two answers
@@ -59,11 +59,11 @@
         REQUIRE(watch.next_question(now) == attempt);
         return watch.answered(attempt, state, now);
     };
-    CHECK_FALSE(answers(attempt_state::unknown));
-    CHECK_FALSE(answers(attempt_state::running));
-    CHECK_FALSE(answers(attempt_state::unknown));
-    CHECK_FALSE(answers(attempt_state::not_answered));
-    CHECK(answers(attempt_state::unknown));
+    CHECK(answers(attempt_state::unknown) == watch_action::none);
+    CHECK(answers(attempt_state::running) == watch_action::none);
+    CHECK(answers(attempt_state::unknown) == watch_action::none);
+    CHECK(answers(attempt_state::not_answered) == watch_action::none);
+    CHECK(answers(attempt_state::unknown) == watch_action::end_attempt);
 }
 
 // Guards against steady load on a server by a long job, and on one that does not answer.
@@ -73,7 +73,7 @@
         absl::Time now = std::exchange(begins, overdue + absl::Minutes(1));
         REQUIRE(is_asked_at(now));
         for (const int milliseconds : {500, 1000, 2000, 4000, 5000, 5000}) {
-            CHECK_FALSE(watch.answered(attempt, state, now));
+            CHECK(watch.answered(attempt, state, now) == watch_action::none);
             now += absl::Milliseconds(milliseconds);
             CHECK(is_asked_at(now));
         }
@@ -86,7 +86,7 @@
 // their attempts.
 TEST_CASE_FIXTURE(fixture, "an attempt is left alone when the server makes no statement") {
     REQUIRE(is_asked_at(overdue));
-    CHECK_FALSE(watch.answered(attempt, attempt_state::not_stated, overdue));
+    CHECK(watch.answered(attempt, attempt_state::not_stated, overdue) == watch_action::none);
     CHECK_FALSE(watch.next_question(limit));
     CHECK(watch.past_limit(limit) == std::vector{attempt});
 }
@@ -119,4 +119,37 @@
     CHECK_FALSE(watch.next_question(limit));
 }
 
+// Guards against a second request on a slot whose first request still runs, and against a slot that is lost.
+TEST_CASE_FIXTURE(fixture, "an abandoned attempt keeps its slot until the server no longer runs it") {
+    for (const attempt_state state : {attempt_state::unknown, attempt_state::not_stated}) {
+        absl::Time now = start;
+        watch.abandon(attempt, now);
+        CHECK(is_asked_at(now));
+        CHECK(watch.answered(attempt, attempt_state::running, now) == watch_action::none);
+        now += absl::Milliseconds(500);
+        CHECK(is_asked_at(now));
+        CHECK(watch.answered(attempt, attempt_state::not_answered, now) == watch_action::none);
+        now += absl::Seconds(1);
+        CHECK(is_asked_at(now));
+        CHECK(watch.past_limit(limit).empty());
+        CHECK(watch.answered(attempt, state, now) == watch_action::release_slot);
+        CHECK(watch.answered(attempt, state, now) == watch_action::none);
+        CHECK_FALSE(watch.next_question(limit));
+        watch = attempt_watch();
+        watch.begin(attempt, overdue, limit);
+    }
+}
+
+// Guards against an attempt that is asked about after its slot was released, when it was abandoned while it
+// was asked about.
+TEST_CASE_FIXTURE(fixture, "an attempt that is abandoned during a question is asked about once at a time") {
+    REQUIRE(is_asked_at(overdue));
+    watch.abandon(attempt, overdue);
+    CHECK(watch.answered(attempt, attempt_state::running, overdue) == watch_action::none);
+    const absl::Time second = overdue + absl::Milliseconds(500);
+    REQUIRE(is_asked_at(second));
+    CHECK(watch.answered(attempt, attempt_state::unknown, second) == watch_action::release_slot);
+    CHECK_FALSE(watch.next_question(limit));
+}
+
 }  // namespace masticpass
--- a/tests/process/backend_failure_test.cpp
+++ b/tests/process/backend_failure_test.cpp
@@ -1,3 +1,7 @@
+#include <future>
+#include <string>
+#include <vector>
+
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
@@ -187,4 +191,36 @@
     fleet.require_clean_backends();
 }
 
+// Guards against a request that is sent to a server whose slots are all taken by requests that have timed out
+// but still run.
+TEST_CASE("a slot of a request that timed out is not used again while the server runs it") {
+    constexpr int server_slots = 8;
+    constexpr int run_ms = 4000;
+    test_fleet fleet(small);
+    fleet.start_serving();
+    const auto send_job = [&fleet](int timeout_ms, int job_ms) {
+        const std::string id = take_identity(fleet);
+        return fleet.send(
+            "entry-a1",
+            {{"Masticpass-Timeout-Ms", std::to_string(timeout_ms)}, {"Masticpass-Request-Id", id}},
+            absl::StrCat(R"({"job":")", id, R"(","run_ms":)", job_ms, "}"));
+    };
+    std::vector<std::future<caller_answer>> sent;
+    sent.reserve(server_slots);
+    for (int slot = 0; slot < server_slots; ++slot) {
+        sent.push_back(std::async(std::launch::async, [&] { return send_job(1000, run_ms); }));
+    }
+    for (auto& one : sent) {
+        require_may_have_run(one.get(), "answer-timeout");
+    }
+    REQUIRE(fleet.counters("vm-a1")["running"].asInt() == server_slots);
+    const caller_answer next = send_job(15000, 0);
+    require_complete(next);
+    REQUIRE(next.elapsed > absl::Seconds(2));
+    const Json::Value seen = fleet.counters("vm-a1");
+    REQUIRE(seen["refused"].asInt() == 0);
+    REQUIRE(seen["most_running"].asInt() == server_slots);
+    fleet.require_clean_backends();
+}
+
 }  // namespace masticpass::process_test
--- a/tests/routing/attempt_supervisor_test.cpp
+++ b/tests/routing/attempt_supervisor_test.cpp
@@ -24,10 +24,36 @@
     fakes::manual_clock time;
     fakes::fake_backend_client backends;
     metrics_registry metrics;
-    attempt_supervisor supervisor{backends, time, metrics};
+    server_directory directory;
+    slot_ledger ledger{incarnation_id("i1")};
+    attempt_supervisor supervisor{backends, directory, ledger, time, metrics};
+    const vm_id vm{"v1"};
+
+    fixture() {
+        ledger.apply({.epoch = 1, .members = {{entry_id("e1"), incarnation_id("i1"), 1}}});
+        list("b1", vm_state::live);
+    }
 
+    void list(const std::string& boot, vm_state state) {
+        listed_vm listed;
+        listed.vm = vm;
+        listed.boot = boot_id(boot);
+        listed.address = "127.0.0.1:1";
+        listed.state = state;
+        directory.update({.index = 1, .vms = {listed}});
+    }
     void begin(absl::Duration suspect_after) {
-        supervisor.begin(attempt, "127.0.0.1:1", suspect_after, absl::Seconds(20));
+        supervisor.begin(attempt, directory.find(vm).value(), suspect_after, absl::Seconds(20));
+    }
+    // An attempt that takes a slot and ends without a response.
+    void abandon() {
+        REQUIRE(ledger.acquire_slot(vm));
+        begin(absl::Seconds(1));
+        ledger.abandon_slot(vm);
+        supervisor.abandon(attempt);
+    }
+    std::uint64_t released(const std::string& cause) const {
+        return metrics.counter({"masticpass_abandoned_slots_released_total", "cause", cause});
     }
     void step_after(absl::Duration duration) {
         time.advance(duration);
@@ -101,6 +127,50 @@
     CHECK(backends.questions() == 0);
 }
 
+// Guards against a second request on a slot whose first request still runs, and against a slot that stays
+// taken when its request no longer runs.
+TEST_CASE_FIXTURE(fixture, "the slot of an abandoned attempt is released when the server does not run it") {
+    for (const auto& [state, cause] :
+         {std::pair{attempt_state::unknown, "unknown"}, std::pair{attempt_state::not_stated, "not-stated"}}) {
+        backends.set_state(attempt_state::running);
+        abandon();
+        for (int second = 0; second < 60; ++second) {
+            step_after(absl::Seconds(1));
+        }
+        CHECK(ledger.usable_slots(vm) == slots_per_instance - 1);
+        CHECK(backends.ended().empty());
+        backends.set_state(state);
+        step_after(absl::Seconds(5));
+        CHECK(ledger.usable_slots(vm) == slots_per_instance);
+        CHECK(released(cause) == 1);
+        const int questions = backends.questions();
+        step_after(absl::Minutes(1));
+        CHECK(backends.questions() == questions);
+    }
+}
+
+// Guards against a slot that stays taken for ever by a request of a VM that is gone or was rebooted, and
+// against one that is released although the VM only cannot be reached.
+TEST_CASE_FIXTURE(fixture, "the slot of an abandoned attempt is released with the boot identity of its VM") {
+    backends.set_state(attempt_state::unknown);
+    abandon();
+    directory.set_unreachable(vm, true);
+    for (int second = 0; second < 60; ++second) {
+        step_after(absl::Seconds(1));
+    }
+    CHECK(backends.questions() == 0);
+    CHECK(ledger.usable_slots(vm) == slots_per_instance - 1);
+    list("b2", vm_state::live);
+    step_after(absl::Seconds(5));
+    CHECK(ledger.usable_slots(vm) == slots_per_instance);
+    abandon();
+    list("b2", vm_state::terminated);
+    step_after(absl::Seconds(5));
+    CHECK(ledger.usable_slots(vm) == slots_per_instance);
+    CHECK(released("server-gone") == 2);
+    CHECK(backends.questions() == 0);
+}
+
 // Guards against a server that holds an attempt beyond its time limit by sending its response headers byte by
 // byte, each within the read timeout of the connection.
 TEST_CASE("an attempt whose response headers arrive byte by byte ends at its time limit") {
@@ -122,7 +192,8 @@
     const monotonic_clock time;
     metrics_registry metrics;
     http_backend_client client({}, time, ledger);
-    attempt_supervisor supervisor(client, time, metrics);
+    server_directory directory;
+    attempt_supervisor supervisor(client, directory, ledger, time, metrics);
     std::atomic<bool> is_stopped = false;
     std::thread stepping([&] {
         while (!is_stopped) {
@@ -138,7 +209,10 @@
     request.content_type = "text/plain";
     request.time_limit = time_limit;
     const absl::Time start = time.now();
-    supervisor.begin(request.attempt, address, absl::Minutes(1), time_limit);
+    server_state at;
+    at.vm = vm_id("v1");
+    at.address = address;
+    supervisor.begin(request.attempt, at, absl::Minutes(1), time_limit);
     const auto result = client.run(request);
     const absl::Duration elapsed = time.now() - start;
     supervisor.finish(request.attempt);
--- a/tests/routing/request_router_test.cpp
+++ b/tests/routing/request_router_test.cpp
@@ -276,4 +276,32 @@
     CHECK(backends.runs() == 1);
 }
 
+// Guards against a slot that is used again while its request may still run, and against one that stays taken
+// although the server ran the request to its end or did not get it.
+TEST_CASE_FIXTURE(fixture,
+                  "only an attempt without a response keeps its slot, until the server states its end") {
+    struct failure_case {
+        verdict outcome;
+        refusal_reason reason;
+        int kept_slots;
+    };
+    const vm_id vm("v1");
+    for (const failure_case& failing :
+         {failure_case{verdict::may_have_run, refusal_reason::answer_timeout, 1},
+          failure_case{verdict::may_have_run, refusal_reason::connection_lost, 1},
+          failure_case{verdict::may_have_run, refusal_reason::connection_silent, 0},
+          failure_case{verdict::may_have_run, refusal_reason::answer_mismatched, 0},
+          failure_case{verdict::not_run, refusal_reason::server_refused, 0}}) {
+        CAPTURE(to_string(failing.reason));
+        fail_attempts(failing.outcome, failing.reason);
+        CHECK(verdict_of_refusal(router.handle(request(issue()))) == failing.outcome);
+        CHECK(ledger.usable_slots(vm) == slots_per_instance - failing.kept_slots);
+        CHECK(ledger.in_flight() == 0);
+        backends.set_state(attempt_state::unknown);
+        time.advance(absl::Seconds(5));
+        router.supervise();
+        CHECK(ledger.usable_slots(vm) == slots_per_instance);
+    }
+}
+
 }  // namespace masticpass
--- a/tests/routing/slot_ledger_test.cpp
+++ b/tests/routing/slot_ledger_test.cpp
@@ -70,4 +70,37 @@
     CHECK(open_connections() == limit);
 }
 
+// Guards against a second request on the slot of a request that the server may still run, against a
+// settlement that gives the slot to another entry VM meanwhile, and against a drain that waits for it.
+TEST_CASE_FIXTURE(fixture, "an abandoned slot stays taken and unsettled but keeps no VM from being drained") {
+    const incarnation_id self("i1");
+    for (int slot = 0; slot < slots_per_instance; ++slot) {
+        REQUIRE(ledger.acquire_slot(v1));
+    }
+    std::uint64_t version = ledger.version();
+    ledger.abandon_slot(v1);
+    CHECK(ledger.version() > version);
+    CHECK(ledger.in_flight() == slots_per_instance - 1);
+    CHECK(ledger.usable_slots(v1) == slots_per_instance - 1);
+    CHECK_FALSE(ledger.acquire_slot(v1));
+
+    for (int slot = 1; slot < slots_per_instance; ++slot) {
+        ledger.abandon_slot(v1);
+    }
+    ledger.set_blocked({v1});
+    CHECK(ledger.is_drained(v1));
+    ledger.set_blocked({});
+    // The other member gets a part of the slots as soon as no request of this one can be on it.
+    ledger.apply(
+        {.epoch = 2, .members = {{entry_id("e1"), self, 1}, {entry_id("e2"), incarnation_id("i2"), 2}}});
+    CHECK(ledger.announcement().unsettled == std::vector{v1});
+    version = ledger.version();
+    for (int slot = 0; slot < slots_per_instance; ++slot) {
+        ledger.release_abandoned_slot(v1);
+    }
+    CHECK(ledger.version() > version);
+    CHECK(ledger.announcement().unsettled.empty());
+    CHECK(ledger.acquire_slot(v1));
+}
+
 }  // namespace masticpass
