Report a drain that the store refused as a conflict, not as unknown

Cause: write_pool dropped the kind of the store's error, and drain reported each one as an unknown outcome (exit code 5), although a conflict and an unavailable store had no effect.

drain now reports a conflict (exit code 3) that names the pool and the entry VM that wrote the record first, if the record could be read again; a store that is unavailable or refuses the value as unavailable (exit code 4); only a lost response as unknown.

Ruled out: trying the reservation again within the call. The record that another entry VM wrote can leave no budget, and the operator can repeat.

--- a/source/agent/maintenance_agent.cpp
+++ b/source/agent/maintenance_agent.cpp
@@ -213,8 +213,8 @@
     }
 }
 
-std::optional<store_revision> maintenance_agent::write_pool(const pool_record& record,
-                                                            std::int64_t expected_revision) {
+tl::expected<store_revision, store_error_kind> maintenance_agent::write_pool(const pool_record& record,
+                                                                             std::int64_t expected_revision) {
     const std::string key = pool_key(record.pool);
     const std::string value = serialize(record);
     const auto written = store_.compare_and_swap(key, expected_revision, value, lease_id::none);
@@ -229,7 +229,27 @@
     if (const auto present = store_.read(key)) {
         records_.offer({key, present->value, static_cast<std::uint64_t>(present->revision)});
     }
-    return std::nullopt;
+    return tl::unexpected(written.error().kind);
+}
+
+operations_error maintenance_agent::drain_error(store_error_kind kind, const pool_name& pool,
+                                                std::int64_t expected_revision) const {
+    if (kind == store_error_kind::unknown_outcome) {
+        return {operations_error_code::unknown_outcome, "the reservation was not confirmed by the store"};
+    }
+    if (kind != store_error_kind::conflict) {
+        return {operations_error_code::unavailable,
+                "the VM was not reserved: the store answered " + std::string(to_string(kind))};
+    }
+    std::string writer = "another entry VM";
+    const auto held = fleet_.pools();
+    const auto present = held->find(pool);
+    // The writer is known if the record could be read again after the conflict.
+    if (present != held->end() && present->second.revision > expected_revision) {
+        writer = "the entry VM " + present->second.record.last_writer.value();
+    }
+    return {operations_error_code::conflict, "the VM was not reserved: the record of the pool " +
+                                                 pool.value() + " was changed first by " + writer};
 }
 
 void maintenance_agent::reboot(const reboot_vm& action) {
@@ -276,9 +296,9 @@
     }
     reserved->last_change = change_id(self_.value() + "." + std::to_string(next_sequence_++));
     reserved->last_writer = self_;
-    if (!write_pool(*reserved, stored.revision)) {
-        return tl::unexpected(operations_error{operations_error_code::unknown_outcome,
-                                               "the reservation was not confirmed by the store"});
+    const auto written = write_pool(*reserved, stored.revision);
+    if (!written) {
+        return tl::unexpected(drain_error(written.error(), *owner, stored.revision));
     }
     return drain_result{*owner, std::string(to_string(vm_phase::reserved))};
 }
--- a/source/agent/maintenance_agent.h
+++ b/source/agent/maintenance_agent.h
@@ -53,8 +53,12 @@
     void carry_out(const maintenance_action& action);
     void write(const write_record& action);
     void reboot(const reboot_vm& action);
-    // The revision of the write; nullopt after any error, in which case the record is read again.
-    std::optional<store_revision> write_pool(const pool_record& record, std::int64_t expected_revision);
+    // The revision of the write. After any error, the record is read again.
+    tl::expected<store_revision, store_error_kind> write_pool(const pool_record& record,
+                                                              std::int64_t expected_revision);
+    // Why the reservation of a drain, a write over the `expected_revision` of the pool's record, failed.
+    operations_error drain_error(store_error_kind kind, const pool_name& pool,
+                                 std::int64_t expected_revision) const;
 
     const incarnation_id self_;
     configuration_store& store_;
--- a/tests/agent/maintenance_agent_test.cpp
+++ b/tests/agent/maintenance_agent_test.cpp
@@ -235,6 +235,46 @@
     CHECK(agent->drain(vm_id("none"), operation_id("o3")).error().code == operations_error_code::not_found);
 }
 
+// Guards against an operator who is told that a drain may have taken effect when the store says that it has
+// not, and against one who is told that it has not when it may have.
+TEST_CASE_FIXTURE(fixture, "a drain that the store refuses says whether it took effect") {
+    acknowledges = false;
+    start();
+    REQUIRE(fakes::wait_until([&] { return fleet.pools()->size() == 3; }));
+    const std::string key = pool_key(pool_name("desk"));
+    operations_error_code expected = operations_error_code::unknown_outcome;
+    std::string named = "not confirmed";
+    std::atomic<bool> is_changed = false;
+    SUBCASE("another entry VM writes first") {
+        expected = operations_error_code::conflict;
+        named = "the record of the pool desk was changed first by the entry VM i9";
+        store.set_hook([&](std::string_view method, std::string_view called) {
+            if (method == "compare_and_swap" && called == key && !is_changed.exchange(true)) {
+                auto other = parse_pool_record(store.value(key)).value();
+                other.last_change = change_id("i9.4");
+                other.last_writer = incarnation_id("i9");
+                store.put(key, serialize(other));
+            }
+        });
+    }
+    SUBCASE("the store is down") {
+        expected = operations_error_code::unavailable;
+        named = "the store";
+        store.set_down(true);
+    }
+    SUBCASE("the response is lost") {
+        store.set_hook([&](std::string_view method, std::string_view called) {
+            if (method == "compare_and_swap" && called == key && !is_changed.exchange(true)) {
+                store.lose_responses(1);
+            }
+        });
+    }
+    const auto drained = agent->drain(vm_id("desk0"), operation_id("o1"));
+    REQUIRE_FALSE(drained.has_value());
+    CHECK(drained.error().code == expected);
+    CHECK(drained.error().message.find(named) != std::string::npos);
+}
+
 // Guards against a VM that counts as failed too early or on the report of one entry VM of another boot.
 TEST_CASE_FIXTURE(fixture, "a VM has failed when all entry VMs of its zone report it for 10 s") {
     const vm_id vm("dyeing0");
--- a/tests/application/command_line_test.cpp
+++ b/tests/application/command_line_test.cpp
@@ -190,6 +190,10 @@
     const command_result refused = running.call({"vm", "drain", "vm-1", "--author", "i", "--output", "json"});
     CHECK(refused.code == exit_code::refused);
     CHECK(parse_json(refused.err).value()["error"]["code"] == "budget-exhausted");
+    running.service.failure = operations_error{operations_error_code::conflict, "changed first by i9"};
+    const command_result conflict = running.call({"vm", "drain", "vm-1", "--author", "i"});
+    CHECK(conflict.code == exit_code::conflict);
+    CHECK(conflict.err.find("changed first by i9") != std::string::npos);
 }
 
 // Guards against a value that changes its type between YAML and JSON.
