Refuse requests before the handler with a verdict that their identity allows

Cause: the HTTP front refused bad headers, a passed deadline, an oversize body or an unknown path as "not run" without looking up the identity. The same identity may have run when it was sent before (invariant I4).

The front now asks the request handler whether it holds the identity unused. Only then a refusal of a request with an identity is "not run". If the HTTP library stopped before the last header, an identity may be in the rest, and the verdict is "may have run". The library sets the sender's address after the last header, which tells the two cases apart; a status code does not, as 400 also stands for a bad body.

Ruled out: reading "not issued yet" as "not run" in the front. The rule is that only a held and unused identity is proof.

The router's request_handler::is_unused is a look-up; run_attempt and leaves_identity_open are unchanged.

--- a/source/caller/caller_server.cpp
+++ b/source/caller/caller_server.cpp
@@ -30,7 +30,9 @@
     const absl::Time start = time_source.now();
     auto parsed = read_request(request, service_name(request.matches[1].str()), start);
     if (!parsed) {
-        refuse(parsed.error(), metrics, response);
+        refusal refused = parsed.error();
+        refused.outcome = refusal_verdict(request, handler);
+        refuse(refused, metrics, response);
         return;
     }
     parsed->forwarded = forwarded;
@@ -76,14 +78,16 @@
 }
 
 // Responses that the HTTP library makes before a handler runs get a verdict too.
-void add_verdict(metrics_registry& metrics, httplib::Response& response) {
+void add_verdict(request_handler& handler, metrics_registry& metrics, const httplib::Request& request,
+                 httplib::Response& response) {
     if (response.has_header("Masticpass-Verdict")) {
         return;
     }
     const int status = response.status;
     const refusal_reason reason = status == status_payload_too_large ? refusal_reason::request_too_large
                                                                      : refusal_reason::invalid_request;
-    refuse({verdict::not_run, reason, "the HTTP request was not accepted"}, metrics, response);
+    refuse({refusal_verdict(request, handler), reason, "the HTTP request was not accepted"}, metrics,
+           response);
     response.status = status;
 }
 
@@ -104,8 +108,10 @@
                   [&handler, forwarded](const httplib::Request& request, httplib::Response& response) {
                       answer_cancel(handler, forwarded, request, response);
                   });
-    const httplib::Server::Handler complete_error =
-        [&metrics](const httplib::Request&, httplib::Response& response) { add_verdict(metrics, response); };
+    const httplib::Server::Handler complete_error = [&handler, &metrics](const httplib::Request& request,
+                                                                         httplib::Response& response) {
+        add_verdict(handler, metrics, request, response);
+    };
     server.set_error_handler(complete_error);
     server.set_exception_handler([&metrics](const httplib::Request&, httplib::Response& response,
                                             const std::exception_ptr&) {
--- a/source/caller/request_format.cpp
+++ b/source/caller/request_format.cpp
@@ -183,6 +183,16 @@
     return result;
 }
 
+verdict refusal_verdict(const httplib::Request& request, request_handler& handler) {
+    const std::string id = request.get_header_value(id_header);
+    const bool is_single = request.get_header_value_count(id_header) <= 1;
+    if (!id.empty() || !is_single) {
+        return is_single && handler.is_unused(request_id(id)) ? verdict::not_run : verdict::may_have_run;
+    }
+    // The HTTP library sets the address of the sender when it has read the last header.
+    return request.remote_addr.empty() ? verdict::may_have_run : verdict::not_run;
+}
+
 httplib::Headers to_headers(const service_request& request, absl::Time now) {
     httplib::Headers headers = {
         {timeout_header, absl::StrCat(absl::ToInt64Milliseconds(request.deadline - now))},
--- a/source/caller/request_format.h
+++ b/source/caller/request_format.h
@@ -11,11 +11,16 @@
 
 // The HTTP form of service requests and their results, used by callers and between entry VMs.
 
-// Reads a request whose path names `service`. Refuses, as not run, missing or malformed headers and past
-// deadlines.
+// Reads a request whose path names `service`. Refuses missing or malformed headers and past deadlines. The
+// refusal is "not run", which holds for this message only: refusal_verdict says what holds for its identity.
 tl::expected<service_request, refusal> read_request(const httplib::Request& request,
                                                     const service_name& service, absl::Time now);
 
+// The verdict for a request that is refused before `handler` got it. A request with an identity may have run
+// when it was sent before, so it is "not run" only if `handler` states that the identity is unused. A request
+// without an identity is "not run" if all its headers were read; the identity could be in the others.
+verdict refusal_verdict(const httplib::Request& request, request_handler& handler);
+
 // The headers that read_request reads.
 httplib::Headers to_headers(const service_request& request, absl::Time now);
 
--- a/source/decision/serving/once_registry.cpp
+++ b/source/decision/serving/once_registry.cpp
@@ -62,6 +62,12 @@
     return {.decision = once_decision::finished, .response = cache_.find(identity.sequence)};
 }
 
+bool once_registry::is_unused(const once_identity& identity, absl::Time now) {
+    expire(now);
+    const auto found = find(identity);
+    return found.has_value() && read(**found, identity.sequence) == state::unused;
+}
+
 tl::expected<void, once_error> once_registry::finish(const once_identity& identity, once_response response,
                                                      absl::Time now) {
     expire(now);
--- a/source/decision/serving/once_registry.h
+++ b/source/decision/serving/once_registry.h
@@ -80,6 +80,10 @@
     // Asks to run the request with `identity`.
     once_begin begin(const once_identity& identity, absl::Time now);
 
+    // Whether `identity` was issued, has not expired, and no run with it is in progress or has ended, other
+    // than as not run. Changes nothing but what has expired.
+    bool is_unused(const once_identity& identity, absl::Time now);
+
     // Records that the request ended after it ran or may have run.
     [[nodiscard]] tl::expected<void, once_error> finish(const once_identity& identity, once_response response,
                                                         absl::Time now);
--- a/source/routing/identity_ledger.cpp
+++ b/source/routing/identity_ledger.cpp
@@ -64,6 +64,12 @@
     return registry->begin(identity, clock_.now());
 }
 
+bool identity_ledger::is_unused(const once_identity& identity) {
+    const absl::MutexLock lock(&mutex_);
+    once_registry* const registry = registry_of(identity.issuer);
+    return registry != nullptr && !handed_over_ && registry->is_unused(identity, clock_.now());
+}
+
 void identity_ledger::settle(const once_identity& identity, const request_result& result) {
     const absl::MutexLock lock(&mutex_);
     once_registry* const registry = registry_of(identity.issuer);
--- a/source/routing/identity_ledger.h
+++ b/source/routing/identity_ledger.h
@@ -28,6 +28,10 @@
     // of the issuer, or no longer.
     once_begin begin(const once_identity& identity);
 
+    // Whether this entry VM holds the identity and no run with it is in progress or has ended, other than as
+    // not run. False after hand_over, since the new holder may have begun it.
+    bool is_unused(const once_identity& identity);
+
     // Records how a run that `begin` allowed has ended.
     void settle(const once_identity& identity, const request_result& result);
 
--- a/source/routing/request_router.cpp
+++ b/source/routing/request_router.cpp
@@ -291,6 +291,11 @@
     return identities_.issue(count);
 }
 
+bool request_router::is_unused(const request_id& id) {
+    const auto identity = once_identity::parse(id.value());
+    return identity && identities_.is_unused(*identity);
+}
+
 verdict request_router::cancel(const request_id& id, bool forwarded) {
     if (const auto outcome = cancel_here(id)) {
         return *outcome;
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -60,6 +60,7 @@
 
     request_result handle(const service_request& request) override;
     tl::expected<std::vector<request_id>, refusal> issue_identities(std::size_t count) override;
+    bool is_unused(const request_id& id) override;
     verdict cancel(const request_id& id, bool forwarded) override;
 
     // Replaces the services. Queued requests of a service that is gone are refused as not run.
--- a/source/routing/service_request.h
+++ b/source/routing/service_request.h
@@ -56,6 +56,10 @@
     // 1,000.
     virtual tl::expected<std::vector<request_id>, refusal> issue_identities(std::size_t count) = 0;
 
+    // Whether this entry VM may run the identity `id` and no request with it has begun, so that a request
+    // with it that is refused now has not run. False whenever that is not known.
+    virtual bool is_unused(const request_id& id) = 0;
+
     // Cancels a waiting request; its place is free when the call returns. The verdict says whether it had
     // begun.
     // `forwarded` says that another entry VM passes it on.
--- a/tests/peer/peer_server_test.cpp
+++ b/tests/peer/peer_server_test.cpp
@@ -54,6 +54,7 @@
     tl::expected<std::vector<request_id>, refusal> issue_identities(std::size_t count) override {
         return std::vector<request_id>(count, request_id("i1.1"));
     }
+    bool is_unused(const request_id&) override { return false; }
     verdict cancel(const request_id& id, bool forwarded) override {
         return forwarded && id == request_id("c1") ? verdict::not_run : verdict::may_have_run;
     }
--- a/tests/routing/identity_ledger_test.cpp
+++ b/tests/routing/identity_ledger_test.cpp
@@ -48,6 +48,32 @@
     CHECK_FALSE(first.issue(1));
 }
 
+// Guards against a front that states "not run" of an identity that has run, may run, or is held elsewhere.
+TEST_CASE("an identity is unused until it begins, after a run that did not run, and only at its holder") {
+    fixed_clock time;
+    const once_options options{.lifetime = absl::Minutes(15)};
+    identity_ledger first(issuer, options, time);
+    identity_ledger second(heir, options, time);
+    const auto id = parse(first.issue(1)->front());
+    CHECK(first.is_unused(id));
+    CHECK_FALSE(first.is_unused({issuer, id.sequence + 1}));
+    CHECK_FALSE(second.is_unused(id));
+
+    REQUIRE(first.begin(id).decision == once_decision::first_run);
+    CHECK_FALSE(first.is_unused(id));
+    first.settle(id, tl::unexpected(refusal{verdict::not_run, refusal_reason::deadline_passed, "late"}));
+    CHECK(first.is_unused(id));
+
+    REQUIRE(second.take_over(first.hand_over()));
+    CHECK_FALSE(first.is_unused(id));
+    CHECK(second.is_unused(id));
+    REQUIRE(second.begin(id).decision == once_decision::first_run);
+    second.settle(id, service_response{200, "text/plain", "done"});
+    CHECK_FALSE(second.is_unused(id));
+    time.time += absl::Minutes(16);
+    CHECK_FALSE(second.is_unused(id));
+}
+
 // Guards against a transfer that is repeated after runs began, which would make them unused again.
 TEST_CASE("a transfer that is already held or that arrives after the own hand-over is refused") {
     const fixed_clock time;
--- a/tests/routing/request_router_test.cpp
+++ b/tests/routing/request_router_test.cpp
@@ -276,4 +276,16 @@
     CHECK(backends.runs() == 1);
 }
 
+// Guards against a front that states "not run" of an identity that was begun, or that this entry VM never
+// issued.
+TEST_CASE_FIXTURE(fixture, "an identity is unused only if it was issued here and has not begun") {
+    const request_id id = issue();
+    CHECK(router.is_unused(id));
+    CHECK_FALSE(router.is_unused(request_id("i1.999999999")));
+    CHECK_FALSE(router.is_unused(request_id("i2.1")));
+    CHECK_FALSE(router.is_unused(request_id("no-identity")));
+    REQUIRE(router.handle(request(id)).has_value());
+    CHECK_FALSE(router.is_unused(id));
+}
+
 }  // namespace masticpass
