Take a newer incarnation as proof of absence only at the same address

Cause: the membership view took a newer incarnation of an entry id as proof that the older one was gone wherever it was heard, and a proof for the newer one as proof for all older ones. A second process configured with the same entry id at another address freed the slots of the running one, and so did its end.

The view now keeps the address of each incarnation that was heard, at most 32 for each entry id. A newer one at another address replaces the older one for routing; the older one's address is checked by note_refused and by the allotment agent like any silent one. If the newer one is proved gone, the older one is accepted again.

Ruled out: an address argument of proof_of_absence. An incarnation has one address, and entry_parts::is_gone already checks the one in the allotment record of an incarnation that was never heard.

--- a/source/agent/membership_agent.cpp
+++ b/source/agent/membership_agent.cpp
@@ -125,16 +125,10 @@
 
 void membership_agent::note_refused(const std::string& address) {
     const auto parsed = parse_socket_address(address);
-    std::vector<membership_view::known_entry> heard;
+    std::vector<entry_observation> heard;
     {
         const absl::MutexLock lock(&mutex_);
-        for (const auto& [entry, beat] : latest_) {
-            const auto known = view_.find(entry);
-            if (known && known->observation.address == address &&
-                !view_.proof_of_absence(entry, known->observation.incarnation)) {
-                heard.push_back(*known);
-            }
-        }
+        heard = view_.unproved_at(address);
     }
     if (heard.empty() || !parsed || !is_process_gone(*parsed, process_check_time_limit)) {
         return;
@@ -142,33 +136,33 @@
     for (const auto& known : heard) {
         {
             const absl::MutexLock lock(&mutex_);
-            view_.record_gone(known.observation.entry, known.observation.incarnation,
-                              gone_proof::connection_refused);
+            view_.record_gone(known.entry, known.incarnation, gone_proof::connection_refused);
         }
         log_event(log_severity::info, "entry_gone",
-                  {{"entry", known.observation.entry.value()},
-                   {"incarnation", known.observation.incarnation.value()}});
-        events_.gone(known.observation.incarnation);
+                  {{"entry", known.entry.value()}, {"incarnation", known.incarnation.value()}});
+        events_.gone(known.incarnation);
     }
 }
 
 bool membership_agent::accept(heartbeat beat) {
     loads_.complete(beat);
-    std::optional<incarnation_id> replaced;
+    std::vector<incarnation_id> proved_gone;
     {
         const absl::MutexLock lock(&mutex_);
-        const auto before = view_.find(beat.entry);
+        const auto before = view_.unproved_of(beat.entry);
         if (!view_.record_heartbeat(to_observation(beat), clock_.now())) {
             return false;
         }
-        if (before && before->observation.incarnation != beat.incarnation) {
-            replaced = before->observation.incarnation;
+        for (const entry_observation& observed : before) {
+            if (view_.proof_of_absence(observed.entry, observed.incarnation)) {
+                proved_gone.push_back(observed.incarnation);
+            }
         }
         latest_[beat.entry] = beat;
         heard_[beat.address] = clock_.now();
     }
-    if (replaced) {
-        events_.gone(*replaced);
+    for (const incarnation_id& incarnation : proved_gone) {
+        events_.gone(incarnation);
     }
     events_.received(beat);
     return true;
--- a/source/decision/membership/membership_view.cpp
+++ b/source/decision/membership/membership_view.cpp
@@ -6,10 +6,26 @@
 
 namespace masticpass {
 
+namespace {
+
+// Bounds the memory for an entry VM that starts again and again. What is dropped has no proof here.
+constexpr std::size_t largest_incarnations = 32;
+
+template <typename Map>
+void drop_oldest(Map& map) {
+    while (map.size() > largest_incarnations) {
+        map.erase(map.begin());
+    }
+}
+
+}  // namespace
+
 bool membership_view::record_heartbeat(const entry_observation& observation, absl::Time now) {
     const std::string& id = observation.entry.value();
-    const auto gone = gone_.find(id);
-    if (gone != gone_.end() && !is_newer(observation.incarnation, gone->second.incarnation)) {
+    incarnations& all = incarnations_[id];
+    all.heard.insert_or_assign(observation.incarnation, observation);
+    drop_oldest(all.heard);
+    if (proof_of_absence(observation.entry, observation.incarnation)) {
         return false;
     }
     const auto known = entries_.find(id);
@@ -18,10 +34,11 @@
         return true;
     }
     known_entry& entry = known->second;
-    if (is_newer(entry.observation.incarnation, observation.incarnation)) {
+    const incarnation_id& present = entry.observation.incarnation;
+    if (is_newer(present, observation.incarnation) && !proof_of_absence(observation.entry, present)) {
         return false;
     }
-    if (is_newer(observation.incarnation, entry.observation.incarnation)) {
+    if (observation.incarnation != present) {
         entry = {.observation = observation, .last_heard = now};
         return true;
     }
@@ -35,31 +52,59 @@
 
 void membership_view::record_gone(const entry_id& entry, const incarnation_id& incarnation,
                                   gone_proof proof) {
-    const auto [gone, is_new] =
-        gone_.try_emplace(entry.value(), gone_record{.incarnation = incarnation, .proof = proof});
-    if (!is_new && is_newer(incarnation, gone->second.incarnation)) {
-        gone->second = {.incarnation = incarnation, .proof = proof};
-    }
+    incarnations& all = incarnations_[entry.value()];
+    all.gone.try_emplace(incarnation, proof);
+    drop_oldest(all.gone);
 }
 
 std::optional<gone_proof> membership_view::proof_of_absence(const entry_id& entry,
                                                             const incarnation_id& incarnation) const {
-    const auto gone = gone_.find(entry.value());
-    if (gone != gone_.end()) {
-        if (gone->second.incarnation == incarnation) {
-            return gone->second.proof;
-        }
-        if (is_newer(gone->second.incarnation, incarnation)) {
+    const auto all = incarnations_.find(entry.value());
+    if (all == incarnations_.end()) {
+        return std::nullopt;
+    }
+    const auto gone = all->second.gone.find(incarnation);
+    if (gone != all->second.gone.end()) {
+        return gone->second;
+    }
+    const auto heard = all->second.heard.find(incarnation);
+    if (heard == all->second.heard.end()) {
+        return std::nullopt;
+    }
+    for (const auto& [other, observation] : all->second.heard) {
+        if (is_newer(other, incarnation) && observation.address == heard->second.address) {
             return gone_proof::newer_incarnation;
         }
     }
-    const auto known = entries_.find(entry.value());
-    if (known != entries_.end() && is_newer(known->second.observation.incarnation, incarnation)) {
-        return gone_proof::newer_incarnation;
-    }
     return std::nullopt;
 }
 
+std::vector<entry_observation> membership_view::unproved_of(const entry_id& entry) const {
+    std::vector<entry_observation> result;
+    const auto all = incarnations_.find(entry.value());
+    if (all == incarnations_.end()) {
+        return result;
+    }
+    for (const auto& [incarnation, observation] : all->second.heard) {
+        if (!proof_of_absence(entry, incarnation)) {
+            result.push_back(observation);
+        }
+    }
+    return result;
+}
+
+std::vector<entry_observation> membership_view::unproved_at(const std::string& address) const {
+    std::vector<entry_observation> result;
+    for (const auto& [id, all] : incarnations_) {
+        for (const entry_observation& observation : unproved_of(entry_id(id))) {
+            if (observation.address == address) {
+                result.push_back(observation);
+            }
+        }
+    }
+    return result;
+}
+
 std::optional<membership_view::known_entry> membership_view::find(const entry_id& entry) const {
     const auto known = entries_.find(entry.value());
     return known == entries_.end() ? std::nullopt : std::optional(known->second);
--- a/source/decision/membership/membership_view.h
+++ b/source/decision/membership/membership_view.h
@@ -26,7 +26,7 @@
 
 // Why an incarnation is known to run no longer. Silence is not a proof: a frozen process may resume.
 enum class gone_proof {
-    newer_incarnation,   // A newer incarnation of the entry VM was seen.
+    newer_incarnation,   // A newer incarnation of the entry VM was heard at the same address.
     connection_refused,  // The address that it used refuses connections.
     terminated,          // The platform terminated its VM.
 };
@@ -40,20 +40,28 @@
         absl::Time last_heard;
     };
 
-    // Records a heartbeat. Returns false, without an effect, if a newer incarnation was seen before or if
-    // this incarnation is proved gone. A heartbeat that is overtaken by a later one of the same incarnation
-    // does not lower the configuration revision or the time.
+    // Records a heartbeat. A newer incarnation takes the place of an older one, which it proves gone only if
+    // both use the same address: at another address, two processes may run with the same entry id. Returns
+    // false if a newer incarnation that is not proved gone was heard before or if this one is proved gone. A
+    // heartbeat that is overtaken by a later one of the same incarnation does not lower the configuration
+    // revision or the time.
     bool record_heartbeat(const entry_observation& observation, absl::Time now);
 
-    // Records that `incarnation` and all older ones of the entry VM are gone, for example because the address
-    // at which `incarnation` was heard refused a connection after that.
+    // Records that `incarnation` is gone, for example because the address at which it was heard refused a
+    // connection after that. Older ones that were heard at the same address are gone with it.
     void record_gone(const entry_id& entry, const incarnation_id& incarnation, gone_proof proof);
 
     // The proof that an incarnation is gone; nullopt if there is none. The entry VM need not be known.
     std::optional<gone_proof> proof_of_absence(const entry_id& entry,
                                                const incarnation_id& incarnation) const;
 
-    // The newest incarnation heard of an entry VM, also if it is silent or gone; nullopt if it is unknown.
+    // The incarnations of all entry VMs that were heard at `address` and are not proved gone.
+    std::vector<entry_observation> unproved_at(const std::string& address) const;
+
+    // The incarnations of an entry VM that were heard and are not proved gone.
+    std::vector<entry_observation> unproved_of(const entry_id& entry) const;
+
+    // The incarnation in use of an entry VM, also if it is silent or gone; nullopt if it is unknown.
     std::optional<known_entry> find(const entry_id& entry) const;
 
     // The entry VMs heard within `silence_limit` before `now` and not proved gone, in the order of their ids.
@@ -61,15 +69,15 @@
     std::vector<known_entry> alive(const zone_name& zone, absl::Time now, absl::Duration silence_limit) const;
 
 private:
-    struct gone_record {
-        // This incarnation and all older ones are gone.
-        incarnation_id incarnation;
-        gone_proof proof = gone_proof::newer_incarnation;
+    // What is known of an entry VM's incarnations, oldest first.
+    struct incarnations {
+        std::map<incarnation_id, entry_observation> heard;
+        std::map<incarnation_id, gone_proof> gone;
     };
 
     // By the value of the entry id.
     std::map<std::string, known_entry> entries_;
-    std::map<std::string, gone_record> gone_;
+    std::map<std::string, incarnations> incarnations_;
 };
 
 // The ids of entry VMs, for example as the candidates of a rendezvous hash.
--- a/tests/agent/membership_agent_test.cpp
+++ b/tests/agent/membership_agent_test.cpp
@@ -154,4 +154,30 @@
     CHECK(received == 2);
 }
 
+// Guards against a second process with the same entry id, whose start would free the slots of the one that
+// runs, and against slots of the older one that stay unused after its process ended.
+TEST_CASE_FIXTURE(
+    fixture, "a newer incarnation at another address proves the older one gone only when it is refused") {
+    std::atomic<int> exchanged = 0;
+    peers.on_heartbeat = [&](const std::string&, const heartbeat&) -> tl::expected<heartbeat, peer_error> {
+        ++exchanged;
+        return tl::unexpected(peer_error::no_answer);
+    };
+    start();
+    agent->receive_heartbeat(beat(2));
+    heartbeat second = beat(3);
+    second.address = "127.0.0.1:7003";
+    agent->receive_heartbeat(second);
+    CHECK(agent->latest().front().incarnation == incarnation(3));
+    agent->set_registered({peer_address});
+    REQUIRE(fakes::wait_until([&] { return exchanged >= 3; }));
+    CHECK(gone == 0);
+    CHECK_FALSE(agent->is_gone(entry_id("e2"), incarnation(2)));
+    peer_process.reset();
+    REQUIRE(fakes::wait_until([&] { return gone == 1; }));
+    CHECK(agent->is_gone(entry_id("e2"), incarnation(2)));
+    CHECK_FALSE(agent->is_gone(entry_id("e2"), incarnation(3)));
+    agent->stop();
+}
+
 }  // namespace masticpass
--- a/tests/decision/membership/membership_view_test.cpp
+++ b/tests/decision/membership/membership_view_test.cpp
@@ -38,6 +38,38 @@
     CHECK(view.proof_of_absence(entry_id("a"), incarnation(2)) == gone_proof::newer_incarnation);
 }
 
+// Guards against a second process with the same entry id, whose start would free the slots of the one that
+// runs.
+TEST_CASE("a newer incarnation at another address takes the older one's place but proves nothing") {
+    membership_view view;
+    entry_observation second = observe("a", 2);
+    second.address = "127.0.0.1:2";
+    view.record_heartbeat(observe("a", 1), start);
+    CHECK(view.record_heartbeat(second, start));
+    CHECK(view.alive(zone, start, silence_limit).size() == 1);
+    CHECK(view.find(entry_id("a"))->observation.incarnation == incarnation(2));
+    CHECK_FALSE(view.proof_of_absence(entry_id("a"), incarnation(1)).has_value());
+    CHECK_FALSE(view.record_heartbeat(observe("a", 1), start));
+
+    SUBCASE("the second process ends, the first one goes on") {
+        view.record_gone(entry_id("a"), incarnation(2), gone_proof::connection_refused);
+        CHECK(view.proof_of_absence(entry_id("a"), incarnation(2)).has_value());
+        CHECK_FALSE(view.proof_of_absence(entry_id("a"), incarnation(1)).has_value());
+        CHECK(view.record_heartbeat(observe("a", 1), start));
+        CHECK(view.alive(zone, start, silence_limit).size() == 1);
+    }
+    SUBCASE("the first address refuses connections") {
+        view.record_gone(entry_id("a"), incarnation(1), gone_proof::connection_refused);
+        CHECK(view.proof_of_absence(entry_id("a"), incarnation(1)) == gone_proof::connection_refused);
+        CHECK(view.alive(zone, start, silence_limit).size() == 1);
+    }
+    SUBCASE("the first address answers with a newer incarnation") {
+        view.record_heartbeat(observe("a", 3), start);
+        CHECK(view.proof_of_absence(entry_id("a"), incarnation(1)) == gone_proof::newer_incarnation);
+        CHECK_FALSE(view.proof_of_absence(entry_id("a"), incarnation(2)).has_value());
+    }
+}
+
 // Guards against taking over the slots of a frozen process that may resume.
 TEST_CASE("silence ends being alive but proves nothing") {
     membership_view view;
