--- a/measure/overhead_measure.cpp
+++ b/measure/overhead_measure.cpp
@@ -74,9 +74,9 @@
         direct.seed = options.seed * 1000 + static_cast<std::uint64_t>(round) * 2;
         through.seed = direct.seed + 1;
         const paced_result without = send_paced(direct);
-        const process_usage before = processes.entry(0).usage();
+        const process_usage before = processes.usage_of_entry(0);
         const paced_result with = send_paced(through);
-        used += processes.entry(0).usage().processor_time - before.processor_time;
+        used += processes.usage_of_entry(0).processor_time - before.processor_time;
         const double p50 = percentile(without.latency_ms, 0.5);
         const double p99 = percentile(without.latency_ms, 0.99);
         const double with_p50 = percentile(with.latency_ms, 0.5);
@@ -101,7 +101,7 @@
     total.add({"processor us/request", "",
                absl::StrFormat("%.0f", absl::ToDoubleMicroseconds(used) / requests), ""});
     total.add({"memory MB", "",
-               absl::StrFormat("%.1f", processes.entry(0).usage().resident_kilobytes / 1024.0), ""});
+               absl::StrFormat("%.1f", processes.usage_of_entry(0).resident_kilobytes / 1024.0), ""});
     total.add({"failed", std::to_string(all_direct.failed), std::to_string(all_through.failed), ""});
     total.print(absl::StrFormat(
         "all rounds, %.0f requests/s over %d connections, ms (goal: at most 0.3 p50, 1 p99 added)",
--- a/measure/support/control_cost.cpp
+++ b/measure/support/control_cost.cpp
@@ -64,7 +64,7 @@
         sample result;
         result.time = absl::Now();
         for (int entry = 0; entry < processes_.entry_count(); ++entry) {
-            result.entries.push_back(processes_.entry(entry).usage());
+            result.entries.push_back(processes_.usage_of_entry(entry));
         }
         for (const auto& [port, bytes] : traffic_.by_port()) {
             traffic* const sum = port == options_.programs.base_port         ? &result.platform
--- a/measure/support/process_fleet.cpp
+++ b/measure/support/process_fleet.cpp
@@ -1,5 +1,6 @@
 #include "support/process_fleet.h"
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -19,6 +20,7 @@
 constexpr int ports_per_entry = 10;
 constexpr absl::Duration ready_limit = absl::Seconds(60);
 constexpr absl::Duration poll_interval = absl::Milliseconds(100);
+constexpr absl::Duration stop_limit = absl::Seconds(20);
 constexpr absl::Duration call_limit = absl::Seconds(10);
 
 std::string loopback(int port) {
@@ -54,7 +56,10 @@
 
 process_fleet::~process_fleet() {
     for (const auto& entry : entries_) {
-        entry->request_stop();
+        entry->send_signal(SIGTERM);
+    }
+    for (const auto& entry : entries_) {
+        entry->wait_for_end(stop_limit);
     }
     entries_.clear();
     backends_.clear();
@@ -75,13 +80,13 @@
     return {*parse_socket_address(loopback(entry_port(number) + 2)), call_limit};
 }
 
-void process_fleet::start(std::vector<std::unique_ptr<child_process>>& list,
-                          const std::vector<std::string>& arguments, const std::string& log) {
-    auto started = child_process::start(arguments, absl::StrCat(directory_, "/", log, ".log"));
-    if (!started) {
-        throw std::runtime_error("cannot start " + arguments.front());
-    }
-    list.push_back(std::move(started));
+void process_fleet::start(process_list& list, const std::vector<std::string>& command,
+                          const std::string& name) {
+    list.push_back(std::make_unique<process_test::child_process>(name, directory_, command));
+}
+
+process_usage process_fleet::usage_of_entry(int number) const {
+    return usage_of(entries_.at(static_cast<std::size_t>(number))->id());
 }
 
 void process_fleet::start_platform() {
--- a/measure/support/process_fleet.h
+++ b/measure/support/process_fleet.h
@@ -10,7 +10,8 @@
 
 #include "decision/configuration/configuration_change.h"
 #include "operations/operations_client.h"
-#include "support/child_process.h"
+#include "process/child_process.h"
+#include "support/process_usage.h"
 #include "support/synthetic_fleet.h"
 
 namespace masticpass::measure {
@@ -40,7 +41,7 @@
     process_fleet& operator=(const process_fleet&) = delete;
 
     int entry_count() const { return static_cast<int>(entries_.size()); }
-    const child_process& entry(int number) const { return *entries_.at(static_cast<std::size_t>(number)); }
+    process_usage usage_of_entry(int number) const;
     std::string caller_address(int number) const;
     operations_client operators(int number) const;
     std::int64_t revision_in_force(int number) const;
@@ -51,21 +52,22 @@
     configuration_change small_change(const std::string& id) const;
 
 private:
+    using process_list = std::vector<std::unique_ptr<process_test::child_process>>;
+
     int entry_port(int number) const;
     void start_platform();
     void start_backends();
     void start_entries();
     void declare();
     void wait_until_ready() const;
-    void start(std::vector<std::unique_ptr<child_process>>& list, const std::vector<std::string>& arguments,
-               const std::string& log);
+    void start(process_list& list, const std::vector<std::string>& command, const std::string& name);
 
     const fleet_programs programs_;
     const fleet_options options_;
     std::string directory_;
-    std::vector<std::unique_ptr<child_process>> platform_;
-    std::vector<std::unique_ptr<child_process>> backends_;
-    std::vector<std::unique_ptr<child_process>> entries_;
+    process_list platform_;
+    process_list backends_;
+    process_list entries_;
 };
 
 }  // namespace masticpass::measure
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -4,9 +4,9 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <system_error>
 
 #include <arpa/inet.h>
-#include <doctest/doctest.h>
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -56,8 +56,11 @@
                    [](std::string& argument) { return argument.data(); });
     const std::string output = path_ + ".out";
     const std::string errors = path_ + ".err";
-    const pid_t pid = ::fork();
-    REQUIRE(pid >= 0);
+    // A failure of the child to execute the program would be seen much later.
+    const pid_t pid = ::access(command.front().c_str(), X_OK) == 0 ? ::fork() : -1;
+    if (pid < 0) {
+        throw std::system_error(errno, std::generic_category(), "cannot start " + command.front());
+    }
     if (pid == 0) {
         run_child(output.c_str(), errors.c_str(), arguments.data());
     }
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -9,16 +9,19 @@
 
 namespace masticpass::process_test {
 
-// A program that a test runs as a child, which also ends if the test process dies. Thread safety: none.
+// A program that a test or a measurement runs as a child. It also ends if the thread that started it does.
+// Thread safety: none.
 class child_process {
 public:
-    // Output and errors go to files in `folder` that are named after `name`.
+    // Output and errors go to files in `folder` that are named after `name`. Throws
+    // std::system_error if the program cannot be started.
     child_process(const std::string& name, const std::string& folder, std::vector<std::string> command);
     // Kills the child if it still runs.
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    pid_t id() const { return pid_; }
     // Does nothing once the child has ended.
     void send_signal(int signal);
     // Returns false if the child has not ended within `bound`.
--- a/tests/process/entry_vm_failure_test.cpp
+++ b/tests/process/entry_vm_failure_test.cpp
@@ -104,7 +104,9 @@
     }
     // Once more, since the answers at the time of the stop differ.
     std::map<std::string, int> runs = fleet.runs();
-    for (const auto& [id, first] : at_stop) {
+    for (const auto& sent : at_stop) {
+        const std::string& id = sent.first;
+        const caller_answer& first = sent.second;
         INFO(id, ": ", first.status, " ", first.verdict, " ", first.reason);
         REQUIRE((first.verdict != "not-run" || runs[id] == 0));
         REQUIRE((first.status != 200 || runs[id] == 1));
--- a/tests/process/maintenance_failure_test.cpp
+++ b/tests/process/maintenance_failure_test.cpp
@@ -37,6 +37,9 @@
     // The most VMs that were down in one list.
     int most_down() const { return most_down_; }
     int down_now() const { return down_now_; }
+    void wait_until_down() const {
+        REQUIRE(wait_until([this] { return down_now_ > 0; }));
+    }
 
 private:
     void observe() {
@@ -55,8 +58,11 @@
     std::thread thread_;
 };
 
-// The stand-in's boot identities end with the number of the boot, from 1.
-void require_each_rebooted_once(const test_fleet& fleet) {
+// Requires that the wave ends without more than one VM down, and with each VM rebooted once. The stand-in's
+// boot identities end with the number of the boot, from 1.
+void require_wave_ends(const test_fleet& fleet, const std::string& entry, const budget_watch& watch) {
+    REQUIRE(wait_until([&] { return fleet.wave_status(entry, "autumn") == "ended"; }));
+    REQUIRE(watch.most_down() == 1);
     for (const Json::Value& vm : fleet.list_vms()) {
         INFO(vm.toStyledString());
         REQUIRE(absl::EndsWith(vm["boot_id"].asString(), "-boot-2"));
@@ -82,6 +88,11 @@
     return {};
 }
 
+void require_complete_answers(const Json::Value& seen) {
+    REQUIRE(seen["complete"].asInt() > 0);
+    REQUIRE(seen["incomplete"].asInt() == 0);
+}
+
 void require_nothing_lost(const Json::Value& seen) {
     REQUIRE(seen["complete"].asInt() > 0);
     REQUIRE(seen["complete"].asInt() == seen["sent"].asInt());
@@ -99,14 +110,10 @@
     const std::string other = fleet.other_than(agent);
     const auto caller = fleet.start_caller({"--seconds", "8", "--once-share", "1"});
     fleet.declare_wave(other, "autumn");
-    REQUIRE(wait_until([&] { return watch.down_now() > 0; }));
+    watch.wait_until_down();
     fleet.process(agent).send_signal(SIGKILL);
-    REQUIRE(wait_until([&] { return fleet.wave_status(other, "autumn") == "ended"; }));
-    REQUIRE(watch.most_down() == 1);
-    require_each_rebooted_once(fleet);
-    const Json::Value seen = test_fleet::finish(*caller);
-    REQUIRE(seen["complete"].asInt() > 0);
-    REQUIRE(seen["incomplete"].asInt() == 0);
+    require_wave_ends(fleet, other, watch);
+    require_complete_answers(test_fleet::finish(*caller));
     fleet.require_clean_backends();
 }
 
@@ -117,7 +124,7 @@
     const budget_watch watch(fleet);
     const std::string entry = fleet.agent();
     fleet.declare_wave(entry, "autumn");
-    REQUIRE(wait_until([&] { return watch.down_now() > 0; }));
+    watch.wait_until_down();
     fleet.control("", "/control/faults", object("store_down", true));
     // The VM that is down takes the whole budget, so no other reservation was written before.
     REQUIRE(count_rebooted(fleet) == 0);
@@ -130,9 +137,7 @@
     REQUIRE(count_rebooted(fleet) == 1);
     REQUIRE(watch.down_now() == 0);
     fleet.control("", "/control/faults", object("store_down", false));
-    REQUIRE(wait_until([&] { return fleet.wave_status(entry, "autumn") == "ended"; }));
-    REQUIRE(watch.most_down() == 1);
-    require_each_rebooted_once(fleet);
+    require_wave_ends(fleet, entry, watch);
     fleet.require_clean_backends();
 }
 
@@ -148,9 +153,7 @@
     fleet.control("", "/control/faults", object("lose_write_responses", 10));
     fleet.control("", "/control/faults", object("lose_reboot_responses", 2));
     const auto caller = fleet.start_caller({"--seconds", "5"});
-    REQUIRE(wait_until([&] { return fleet.wave_status(entry, "autumn") == "ended"; }));
-    REQUIRE(watch.most_down() == 1);
-    require_each_rebooted_once(fleet);
+    require_wave_ends(fleet, entry, watch);
     require_nothing_lost(test_fleet::finish(*caller));
     fleet.require_clean_backends();
 }
@@ -165,7 +168,7 @@
     const std::string other = fleet.other_than(agent);
     const auto caller = fleet.start_caller({"--seconds", "6", "--once-share", "1"});
     fleet.declare_wave(other, "autumn");
-    REQUIRE(wait_until([&] { return watch.down_now() > 0; }));
+    watch.wait_until_down();
     fleet.process(agent).send_signal(SIGSTOP);
     const std::string first = disrupted_vm(fleet, other);
     // The others take over: they release the VM and reserve another one.
@@ -174,13 +177,9 @@
         return !now.empty() && now != first;
     }));
     fleet.process(agent).send_signal(SIGCONT);
-    REQUIRE(wait_until([&] { return fleet.wave_status(other, "autumn") == "ended"; }));
-    REQUIRE(wait_until([&] { return fleet.wave_status(agent, "autumn") == "ended"; }));
-    REQUIRE(watch.most_down() == 1);
-    require_each_rebooted_once(fleet);
-    const Json::Value seen = test_fleet::finish(*caller);
-    REQUIRE(seen["complete"].asInt() > 0);
-    REQUIRE(seen["incomplete"].asInt() == 0);
+    require_wave_ends(fleet, other, watch);
+    require_wave_ends(fleet, agent, watch);
+    require_complete_answers(test_fleet::finish(*caller));
     fleet.require_clean_backends();
 }
 
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -157,16 +157,17 @@
 
 void test_fleet::declare_more(const std::string& entry, const std::string& sections) const {
     const Json::Value shown = operate(entry).show_configuration().value();
-    const configuration_change change{.id = change_id(sections),
+    const std::int64_t revision = shown["revision"].asInt64();
+    const configuration_change change{.id = change_id(absl::StrCat("after-", revision)),
                                       .author = "test",
-                                      .base_revision = shown["revision"].asInt64(),
+                                      .base_revision = revision,
                                       .set = parse_sections(sections, "sections").value(),
                                       .removed = {}};
     REQUIRE(operate(entry).propose_change(change).has_value());
 }
 
 void test_fleet::declare_wave(const std::string& entry, const std::string& wave) const {
-    declare_more(entry, absl::StrCat("wave/", wave, ": {pools: [proofs]}\n"));
+    declare_more(entry, absl::StrCat("wave/", wave, ": {pools: [proofs], state: running}\n"));
 }
 
 std::string test_fleet::wave_status(const std::string& entry, const std::string& wave) const {
@@ -215,10 +216,10 @@
         INFO(vm, ": ", seen.toStyledString());
         REQUIRE(seen["most_running"].asInt() <= slots_per_server);
     }
-    for (const auto& [job, count] : runs()) {
-        INFO(job);
+    for (const auto& job : runs()) {
+        INFO(job.first);
         // Repeatable jobs may run again after a break.
-        REQUIRE((count == 1 || absl::StartsWith(job, "repeatable-")));
+        REQUIRE((job.second == 1 || absl::StartsWith(job.first, "repeatable-")));
     }
 }
 
