Leave out listed VMs without the members that pool records need

Cause: http_vm_list accepted a VM without zone, rack, address or boot identity. maintenance_agent::create_missing_records copies zone and rack into the pool's record, and parse_pool_record refuses empty ones, so the record that was written could not be read back.

Such a VM is now left out of the list; absence from the list proves nothing and sends it no work. vm_list_agent counts it in masticpass_vm_list_skipped_total by the missing member and logs it once, not at each poll. A termination is final, so a terminated VM is kept, without its role, from which a record could be made.

Ruled out: refusing the whole list, as one faulty item would hide the terminations and leaving VMs in it.

--- a/source/agent/vm_list_agent.cpp
+++ b/source/agent/vm_list_agent.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "telemetry/log.h"
+
 namespace masticpass {
 
 vm_list_agent::vm_list_agent(vm_list& list, absl::Duration interval, metrics_registry& metrics,
@@ -14,7 +16,8 @@
 }
 
 void vm_list_agent::poll() {
-    const std::int64_t known = latest()->index;
+    const auto before = latest();
+    const std::int64_t known = before->index;
     auto answer = list_.list(zone_name(), known);
     if (!answer) {
         metrics_.count({"masticpass_platform_errors_total", "call", "vm-list"});
@@ -29,7 +32,19 @@
         const absl::MutexLock lock(&mutex_);
         latest_ = listing;
     }
+    report_skipped(*listing, *before);
     changed_(*listing);
 }
 
+void vm_list_agent::report_skipped(const vm_listing& listing, const vm_listing& before) {
+    if (listing.skipped == before.skipped) {
+        return;
+    }
+    for (const skipped_vm& skipped : listing.skipped) {
+        metrics_.count({"masticpass_vm_list_skipped_total", "missing", skipped.missing});
+        log_event(log_severity::warning, "listed_vm_skipped",
+                  {{"vm", skipped.vm.value()}, {"missing", skipped.missing}});
+    }
+}
+
 }  // namespace masticpass
--- a/source/agent/vm_list_agent.h
+++ b/source/agent/vm_list_agent.h
@@ -28,6 +28,8 @@
 
 private:
     void poll();
+    // Counts and logs the VMs that were left out of a list, if they are not those of the list before.
+    void report_skipped(const vm_listing& listing, const vm_listing& before);
 
     vm_list& list_;
     metrics_registry& metrics_;
--- a/source/platform/http_vm_list.cpp
+++ b/source/platform/http_vm_list.cpp
@@ -31,6 +31,36 @@
                      .state = *state};
 }
 
+// The name of the first member that is missing; empty if there is none. A pool record without zone or rack
+// cannot be read back, and budgets, probes and reboots need the others.
+std::string missing_member(const listed_vm& vm) {
+    if (vm.zone.empty()) {
+        return "zone";
+    }
+    if (vm.rack.empty()) {
+        return "rack";
+    }
+    if (vm.address.empty()) {
+        return "address";
+    }
+    return vm.boot.empty() ? "boot_id" : "";
+}
+
+void add_vm(listed_vm vm, vm_listing& listing) {
+    std::string missing = missing_member(vm);
+    if (missing.empty()) {
+        listing.vms.push_back(std::move(vm));
+        return;
+    }
+    if (vm.state != vm_state::terminated) {
+        listing.skipped.push_back({vm.vm, std::move(missing)});
+        return;
+    }
+    // A termination is final and must not be lost. Without a role, no pool record is made from the VM.
+    vm.pool = pool_name();
+    listing.vms.push_back(std::move(vm));
+}
+
 tl::expected<vm_listing, vm_list_error> parse_listing(std::string_view body) {
     const auto message = etcd::parse_object(body);
     if (!message || !etcd::nested_member(*message, "vms").isArray()) {
@@ -43,7 +73,7 @@
         if (!vm) {
             return tl::make_unexpected(vm.error());
         }
-        listing.vms.push_back(*std::move(vm));
+        add_vm(*std::move(vm), listing);
     }
     return listing;
 }
--- a/source/platform/vm_list.h
+++ b/source/platform/vm_list.h
@@ -33,10 +33,21 @@
     vm_state state = vm_state::live;
 };
 
+// A VM that was left out of a list because a member that pool records and budgets need is missing.
+struct skipped_vm {
+    vm_id vm;
+    // Name of the member in the platform's list.
+    std::string missing;
+
+    friend bool operator==(const skipped_vm&, const skipped_vm&) = default;
+};
+
 struct vm_listing {
     // Grows with every change of the list.
     std::int64_t index = 0;
+    // Each with zone, rack, address and boot identity, but for terminated ones.
     std::vector<listed_vm> vms;
+    std::vector<skipped_vm> skipped = {};
 };
 
 struct [[nodiscard]] vm_list_error {
--- a/tests/platform/vm_adapters_test.cpp
+++ b/tests/platform/vm_adapters_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "decision/maintenance/pool_record.h"
+#include "fakes/raw_server.h"
 #include "fakes/wait_until.h"
 #include "platform/http_vm_control.h"
 #include "platform/http_vm_list.h"
@@ -46,6 +48,58 @@
     CHECK_FALSE(vms.list(zone_name("z2"), std::nullopt).has_value());
 }
 
+// Guards against a VM without a rack or zone, whose pool record cannot be read back, and against the loss of
+// a termination, which is final.
+TEST_CASE("a VM that is listed without a member that records need is left out, with the reason") {
+    std::string members = R"("zone":"z1","rack":"r1","address":"127.0.0.1:1","boot_id":"b1")";
+    const fakes::raw_server platform([&members](fakes::raw_connection& link, const std::string&) {
+        const std::string body = R"({"index":"5","vms":[{"vm":"v1","pool":"p","state":"live",)" + members +
+                                 R"(},{"vm":"v2","pool":"p","state":"terminated"}]})";
+        link.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    http_vm_list list(platform.address());
+    std::string missing;
+    SUBCASE("complete") {}
+    SUBCASE("no zone") {
+        missing = "zone";
+        members = R"("rack":"r1","address":"127.0.0.1:1","boot_id":"b1")";
+    }
+    SUBCASE("empty rack") {
+        missing = "rack";
+        members = R"("zone":"z1","rack":"","address":"127.0.0.1:1","boot_id":"b1")";
+    }
+    SUBCASE("no address") {
+        missing = "address";
+        members = R"("zone":"z1","rack":"r1","boot_id":"b1")";
+    }
+    SUBCASE("no boot identity") {
+        missing = "boot_id";
+        members = R"("zone":"z1","rack":"r1","address":"127.0.0.1:1")";
+    }
+    const auto answer = list.list(zone_name(), std::nullopt);
+    REQUIRE(answer.has_value());
+    const vm_listing& listing = answer->value();
+    REQUIRE(listing.vms.size() == (missing.empty() ? 2 : 1));
+    CHECK(listing.vms.back().vm == vm_id("v2"));
+    CHECK(listing.vms.back().state == vm_state::terminated);
+    // Without a role, no pool record is made from it.
+    CHECK(listing.vms.back().pool.empty());
+    if (!missing.empty()) {
+        CHECK(listing.skipped == std::vector<skipped_vm>{{vm_id("v1"), missing}});
+    }
+    for (const listed_vm& vm : listing.vms) {
+        if (vm.pool.empty()) {
+            continue;
+        }
+        pool_record record;
+        record.pool = vm.pool;
+        record.vms[vm.vm].zone = vm.zone;
+        record.vms[vm.vm].rack = vm.rack;
+        CHECK(parse_pool_record(serialize(record)).has_value());
+    }
+}
+
 // Guards against a stand-in whose list is always up to date, which would hide faults of its readers.
 TEST_CASE_FIXTURE(vm_fixture, "the VM list lags as set") {
     set_faults(R"({"vm_list_lag_ms": 60000})");
