--- a/tests/agent/vm_list_agent_test.cpp
+++ b/tests/agent/vm_list_agent_test.cpp
@@ -93,4 +93,15 @@
     CHECK(boot() == "b3");
 }
 
+// Guards against a VM that is left out unnoticed, and against a log line for it at each poll.
+TEST_CASE_FIXTURE(fixture, "a VM that is left out of the list is counted once") {
+    for (const std::int64_t index : {7, 8, 9}) {
+        vm_listing without{.index = index, .vms = {}};
+        without.skipped = {{vm_id("v1"), "rack"}};
+        list.set(without);
+    }
+    CHECK(changes == 3);
+    CHECK(metrics.counter({"masticpass_vm_list_skipped_total", "missing", "rack"}) == 1);
+}
+
 }  // namespace masticpass
