--- a/source/agent/placement_agent.cpp
+++ b/source/agent/placement_agent.cpp
@@ -129,7 +129,9 @@
         }
         placement_pool pool = describe(name, section, found->second, vms);
         pool.sustained_slots = *slots;
-        pool.buffer_vms = section.spare ? static_cast<int>(fleet_size) / vms_per_buffer_vm : 0;
+        if (section.spare) {
+            pool.buffer_vms = section.buffer_vms.value_or(static_cast<int>(fleet_size) / vms_per_buffer_vm);
+        }
         for (const auto& [service, declared] : configuration.services) {
             if (declared.pool == name) {
                 pool.urgent = pool.urgent || declared.urgent;
--- a/source/decision/configuration/fleet_configuration.h
+++ b/source/decision/configuration/fleet_configuration.h
@@ -26,6 +26,9 @@
     std::vector<zone_name> zones;
     int minimum_vms = 0;
     bool spare = false;
+    // VMs that the spare pool holds back as the buffer of the fleet; one for every ten VMs of the fleet if
+    // not set. Only the spare pool may set it.
+    std::optional<int> buffer_vms;
     availability_budget budget;
     // VMs of the pool when its record is created. Later additions and moves appear only in the record.
     std::vector<vm_id> vms;
--- a/source/decision/configuration/pool_rules.cpp
+++ b/source/decision/configuration/pool_rules.cpp
@@ -83,6 +83,10 @@
     check_names(path + ".vms", pool.vms, "VM", problems);
     // The spare pool may be used up.
     check_range(path + ".minimum_vms", pool.minimum_vms, pool.spare ? 0 : 1, most_pool_vms, problems);
+    if (pool.buffer_vms && !pool.spare) {
+        problems.push_back({path + ".buffer_vms", "expected only on the spare pool"});
+    }
+    check_range(path + ".buffer_vms", pool.buffer_vms.value_or(0), 0, most_pool_vms, problems);
     check_budget(path + ".budget", pool.budget, problems);
     check_budget_is_satisfiable(path, pool, known_size(name, pool, usage), problems);
     if (pool.survive_zone && pool.zones.size() == 1) {
--- a/source/decision/configuration/section_json.cpp
+++ b/source/decision/configuration/section_json.cpp
@@ -61,6 +61,9 @@
     set_unless_default(object, "spare", pool.spare, defaults.spare);
     set_unless_default(object, "survive_rack", pool.survive_rack, defaults.survive_rack);
     set_unless_default(object, "survive_zone", pool.survive_zone, defaults.survive_zone);
+    if (pool.buffer_vms) {
+        object["buffer_vms"] = *pool.buffer_vms;
+    }
     if (!pool.vms.empty()) {
         object["vms"] = to_json_array(pool.vms);
     }
@@ -126,6 +129,7 @@
         pool.budget = read_budget({*budget, reader.path_of("budget"), problems});
     }
     assign_if(pool.spare, reader.boolean("spare"));
+    pool.buffer_vms = reader.integer("buffer_vms");
     assign_if(pool.survive_rack, reader.boolean("survive_rack"));
     assign_if(pool.survive_zone, reader.boolean("survive_zone"));
     pool.vms = to_identifiers<vm_id>(reader.texts("vms").value_or(std::vector<std::string>()));
--- a/tests/decision/configuration/configuration_record_test.cpp
+++ b/tests/decision/configuration/configuration_record_test.cpp
@@ -34,6 +34,7 @@
     pool_section& pool = record.configuration.pools[pool_name("weaving")];
     pool.survive_rack = false;
     pool.survive_zone = true;
+    pool.buffer_vms = 4;
     pool.vms.clear();
     pool.budget = {.max_unavailable = 3,
                    .max_unavailable_per_rack = 1,
--- a/tests/decision/configuration/validate_test.cpp
+++ b/tests/decision/configuration/validate_test.cpp
@@ -41,6 +41,8 @@
      }},
     {"pool/weaving.minimum_vms", [](auto& c) { pool(c, "weaving").minimum_vms = 0; }},
     {"pool/weaving.minimum_vms", [](auto& c) { pool(c, "weaving").minimum_vms = -5; }},
+    {"pool/weaving.buffer_vms", [](auto& c) { pool(c, "weaving").buffer_vms = 1; }},
+    {"pool/desk.buffer_vms", [](auto& c) { pool(c, "desk").buffer_vms = -1; }},
     {"pool/weaving.team", [](auto& c) { pool(c, "weaving").team = team_name("nobody"); }},
     {"pool/weaving.spare", [](auto& c) { pool(c, "weaving").spare = true; }},
     {"service/loom-plan.pool", [](auto& c) { c.services[service_name("loom-plan")].pool = pool_name("x"); }},
