Pause the tick and the supervision of attempts for longer while they have nothing to do

An entry VM without requests woke 200 times a second for the tick, 17% of its processor time in a profile, and 100 times more since attempts are supervised. The tick now runs every 20 ms while no request is open, and the supervision every 50 ms unless it has just asked about an attempt; an attempt is overdue after 500 ms at the earliest.

Tests of routing pass.

--- a/source/application/entry_parts.cpp
+++ b/source/application/entry_parts.cpp
@@ -19,7 +19,11 @@
 // The entry VM that rendezvous hashing gives this key starts the moves of placement.
 constexpr std::string_view placement_key = "placement";
 constexpr absl::Duration tick_interval = absl::Milliseconds(5);
-constexpr absl::Duration supervision_interval = absl::Milliseconds(10);
+// 200 wake-ups a second took 17% of the processor time of an entry VM without requests.
+constexpr absl::Duration idle_tick_interval = absl::Milliseconds(20);
+constexpr absl::Duration question_interval = absl::Milliseconds(10);
+// Short against the 500 ms after which an attempt is overdue at the earliest.
+constexpr absl::Duration supervision_interval = absl::Milliseconds(50);
 constexpr absl::Duration housekeeping_interval = absl::Seconds(1);
 constexpr absl::Duration process_check_time_limit = absl::Milliseconds(200);
 
@@ -304,8 +308,12 @@
     operator_calls = std::make_unique<entry_fleet_service>(
         entry_fleet_service::parts{configured, self, time_source, fleet, *changes, *maintenance, *membership,
                                    [this] { return own_heartbeat(); }});
-    ticker = std::make_unique<periodic_thread>(tick_interval, [this] { router.tick(); });
-    supervisor = std::make_unique<periodic_thread>(supervision_interval, [this] { router.supervise(); });
+    ticker = std::make_unique<periodic_thread>([this] {
+        router.tick();
+        return router.open_requests() > 0 ? tick_interval : idle_tick_interval;
+    });
+    supervisor = std::make_unique<periodic_thread>(
+        [this] { return router.supervise() ? question_interval : supervision_interval; });
     housekeeper = std::make_unique<periodic_thread>(housekeeping_interval, [this] { housekeep(); });
 }
 
--- a/source/routing/attempt_supervisor.cpp
+++ b/source/routing/attempt_supervisor.cpp
@@ -36,7 +36,7 @@
     servers_.at(attempt).is_abandoned = true;
 }
 
-void attempt_supervisor::step() {
+bool attempt_supervisor::step() {
     const absl::Time now = clock_.now();
     std::vector<attempt_id> too_long;
     std::optional<attempt_id> overdue;
@@ -53,7 +53,7 @@
         end(attempt, attempt_end::time_limit);
     }
     if (!overdue) {
-        return;
+        return false;
     }
     const auto present = directory_.find(server.vm);
     if (server.is_abandoned && (!present || present->boot != server.boot)) {
@@ -64,6 +64,7 @@
     } else {
         ask(*overdue, server);
     }
+    return true;
 }
 
 void attempt_supervisor::ask(const attempt_id& attempt, const attempt_server& server) {
--- a/source/routing/attempt_supervisor.h
+++ b/source/routing/attempt_supervisor.h
@@ -45,8 +45,8 @@
     void abandon(const attempt_id& attempt);
 
     // Ends attempts beyond their time limit and asks about at most one overdue attempt, which takes up to
-    // 250 ms; to be called every 10 ms or so.
-    void step();
+    // 250 ms; true if there was one.
+    bool step();
 
 private:
     struct attempt_server {
--- a/source/routing/request_router.h
+++ b/source/routing/request_router.h
@@ -70,9 +70,10 @@
     // Ends expired requests; to be called every few milliseconds.
     void tick();
 
-    // Ends attempts that take too long and asks servers about overdue ones; to be called every 10 ms or so on
-    // a thread of its own. Takes up to 250 ms while an attempt is overdue.
-    void supervise() { supervisor_.step(); }
+    // Ends attempts that take too long and asks a server about an overdue one; to be called every 50 ms or so
+    // on a thread of its own, sooner if it returns true, since other attempts may be overdue as well. Takes
+    // up to 250 ms while an attempt is overdue.
+    bool supervise() { return supervisor_.step(); }
 
     // Probes ejected servers whose back-off has passed and notes ejections in the directory; to be called
     // every second or so. Takes up to the time limit of a probe for each.
