--- a/tests/process/caller_input_test.cpp
+++ b/tests/process/caller_input_test.cpp
@@ -152,7 +152,9 @@
     };
     for (const auto& [input, expected] : inputs) {
         const std::string answer = send_raw(fleet, input);
-        INFO(input.substr(0, 60), " -> ", answer);
+        // A lambda, as the macro makes one, cannot capture a structured binding.
+        const std::string shown = input.substr(0, 60);
+        INFO(shown, " -> ", answer);
         // Either the connection is closed, or the answer is an error with a verdict.
         REQUIRE((answer.empty() || (answer.find("HTTP/1.1 4") == 0 &&
                                     answer.find("Masticpass-Verdict: " + expected) != std::string::npos)));
