Build the health request of the backend client in one place

The check before reuse, the probe and the question for an attempt's state each built it. No change of behaviour: the tests of backend, routing and process.backend_failure_test pass and the file is clean in the linter.

--- a/source/backend/http_backend_client.cpp
+++ b/source/backend/http_backend_client.cpp
@@ -51,6 +51,14 @@
                    "the backend server does not know the attempt, so its connection is silent");
 }
 
+exchange_request health_check(absl::Duration time_limit) {
+    exchange_request check;
+    check.method = "GET";
+    check.path = "/health";
+    check.time_limit = time_limit;
+    return check;
+}
+
 exchange_request to_exchange(const backend_request& request, absl::Duration time_limit) {
     exchange_request exchange;
     exchange.method = "POST";
@@ -74,11 +82,7 @@
       pool_(limits.idle_limit, limits.idle_connections_per_server) {}
 
 bool http_backend_client::is_answering(connection& link) const {
-    exchange_request check;
-    check.method = "GET";
-    check.path = "/health";
-    check.time_limit = check_time_limit;
-    return link.exchange(check).has_value() && link.is_reusable();
+    return link.exchange(health_check(check_time_limit)).has_value() && link.is_reusable();
 }
 
 tl::expected<std::unique_ptr<connection>, attempt_failure> http_backend_client::connect(
@@ -194,11 +198,8 @@
     if (!link) {
         return attempt_state::not_answered;
     }
-    exchange_request question;
-    question.method = "GET";
-    question.path = "/health";
+    exchange_request question = health_check(time_limit);
     question.headers = {{"Masticpass-Attempt-Id", attempt.value()}};
-    question.time_limit = time_limit;
     const auto result = (*link)->exchange(question);
     if (!result) {
         return attempt_state::not_answered;
@@ -215,11 +216,7 @@
     if (!link) {
         return probe_result::not_probed;
     }
-    exchange_request check;
-    check.method = "GET";
-    check.path = "/health";
-    check.time_limit = time_limit;
-    const auto result = (*link)->exchange(check);
+    const auto result = (*link)->exchange(health_check(time_limit));
     if (!result) {
         return probe_result::unhealthy;
     }
