Take each response of a worker for one of the incarnation that sent it

A start that the new incarnation had accepted before its first report was taken for a run of the earlier one, and the restart released it. The response to an order names the incarnation, but it was not read. Three more faults of the same kind were found: - a report of an earlier incarnation that arrived late was processed, so that the number of its last run end hid the run ends of the new incarnation; - the first poll after a failed one acknowledged run ends up to a number of the earlier incarnation; - an entry of the directory with another start released all runs of a worker, although any program may write entries.

Change: the start of the incarnation is decoded from each response and compared in one place, admit_response(). A response of an earlier incarnation changes nothing; one of a later one is a restart first. Runs know the incarnation that confirmed them: those of the earlier one are lost, starts without a response are blocked again, and accepted ones whose incarnation is unknown wait for a later report. After a failed poll nothing is acknowledged. The directory ends no run. After a restart the run leases of the earlier clock count as granted for their longest duration, and no start is sent before the new clock was read. run_lost and start_refused name the incarnation; start_accepted_after_restart is new.

Tests, each seen to fail first: "a start that may have reached a restarted worker..." on the old code; "after a failed poll..." with the guard removed; the schedules restart workers under their id, deliver reports late, and fail with the runs released at each restart. 10,000 schedules pass.

--- a/source/decision/jobs/job_placement.cpp
+++ b/source/decision/jobs/job_placement.cpp
@@ -99,8 +99,11 @@
                 continue;
             }
             run.is_stop_sent = true;
-            orders.push_back(
-                {.kind = worker_order::order_kind::stop, .worker = id, .task = task, .run = run.run});
+            orders.push_back({.kind = worker_order::order_kind::stop,
+                              .worker = id,
+                              .task = task,
+                              .run = run.run,
+                              .worker_started_ms = worker.started_ms});
         }
     }
 }
@@ -162,7 +165,8 @@
                                   .worker = id,
                                   .task = task,
                                   .run = run.run,
-                                  .speed_percent = percent});
+                                  .speed_percent = percent,
+                                  .worker_started_ms = worker.started_ms});
             }
         }
     }
@@ -405,7 +409,8 @@
             .task = start.task,
             .run = start.run,
             .payload = job->specification().payload,
-            .checkpoint = job->find_task(start.task)->checkpoint};
+            .checkpoint = job->find_task(start.task)->checkpoint,
+            .worker_started_ms = worker->started_ms};
 }
 
 bool job_scheduler::may_start(const tracked_job& job) const {
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -7,19 +7,24 @@
 
 namespace masticpass {
 
-void job_scheduler::begin_incarnation(worker_state& worker, std::int64_t started_ms, absl::Time now) {
-    if (worker.started_ms == started_ms) {
-        return;
+bool job_scheduler::admit_response(worker_state& worker, std::int64_t started_ms, absl::Time now) {
+    if (started_ms == 0 || started_ms == worker.started_ms) {
+        return true;
     }
-    const bool is_first = worker.started_ms == 0;
-    // The directory entry may be older than the last report.
     if (started_ms < worker.started_ms) {
-        return;
+        return false;
     }
-    worker.started_ms = started_ms;
+    const bool is_first = worker.started_ms == 0;
     if (is_first) {
-        return;
+        worker.started_ms = started_ms;
+    } else {
+        begin_incarnation(worker, started_ms, now);
     }
+    return true;
+}
+
+void job_scheduler::begin_incarnation(worker_state& worker, std::int64_t started_ms, absl::Time now) {
+    worker.started_ms = started_ms;
     // The termination that the list of VMs showed was of an earlier incarnation.
     worker.is_terminated = false;
     worker.known_since = now;
@@ -27,16 +32,27 @@
     worker.is_reachable = false;
     worker.last_processed_end = 0;
     worker.last_stored_end = 0;
+    release_runs_of_earlier_incarnation(worker, now);
+}
+
+void job_scheduler::release_runs_of_earlier_incarnation(worker_state& worker, absl::Time now) {
     std::vector<task_name> lost;
     for (auto& [task, run] : worker.runs) {
-        if (run.phase == run_phase::starting ||
-            (run.phase == run_phase::stopping && run.responded_at == absl::InfiniteFuture())) {
+        const bool is_incarnation_known = run.worker_started_ms != 0;
+        if (is_incarnation_known && run.worker_started_ms == worker.started_ms) {
+            continue;
+        }
+        if (is_incarnation_known || run.phase == run_phase::planned) {
+            lost.push_back(task);
+        } else if (run.phase != run_phase::running) {
             // The new incarnation may still execute the start order, so a stop must be sent to prevent that.
             run.phase = run_phase::stopping;
             run.is_stop_sent = false;
-            continue;
+            run.next_stop_at = absl::InfinitePast();
+            run.responded_at = absl::InfiniteFuture();
         }
-        lost.push_back(task);
+        // A run that was accepted by a response without a start time may be on either incarnation. The next
+        // report shows whether it is on this one.
     }
     for (const task_name& task : lost) {
         release_lost_run(worker, task, "worker-restarted", now);
@@ -62,6 +78,7 @@
         {{"task", to_string(task)},
          {"run", std::to_string(run)},
          {"worker", worker.entry.id.value()},
+         {"worker_started_ms", std::to_string(worker.started_ms)},
          {"reason", std::string(reason)}});
     return_to_waiting(task, run, now);
 }
@@ -81,12 +98,9 @@
 bool job_scheduler::handle_report(const worker_id& id, const worker_report& report, absl::Time sent_at,
                                   absl::Time now) {
     worker_state* const worker = find_worker(id);
-    if (worker == nullptr || worker->is_terminated) {
+    if (worker == nullptr || worker->is_terminated || !admit_response(*worker, report.started_ms, now)) {
         return false;
     }
-    if (report.started_ms != 0) {
-        begin_incarnation(*worker, report.started_ms, now);
-    }
     const bool was_usable = worker->is_reachable && worker->is_synced;
     worker->is_reachable = true;
     worker->is_synced = true;
@@ -145,6 +159,7 @@
         return;
     }
     placed.listed_at = sent_at;
+    placed.worker_started_ms = worker.started_ms;
     if (placed.phase == run_phase::starting) {
         placed.phase = run_phase::running;
         placed.responded_at = now;
--- a/source/decision/jobs/job_scheduler.cpp
+++ b/source/decision/jobs/job_scheduler.cpp
@@ -80,8 +80,9 @@
             worker.idle_since = now;
             worker.known_since = now;
         }
-        if (entry.started_ms != 0) {
-            begin_incarnation(worker, entry.started_ms, now);
+        if (worker.is_terminated && entry.started_ms > worker.entry.started_ms) {
+            // The next response names the incarnation. The entry may be of another writer.
+            begin_incarnation(worker, 0, now);
         }
         worker.entry = entry;
         worker.is_listed = true;
@@ -241,12 +242,21 @@
     return found == worker->runs.end() || found->second.run != order.run ? nullptr : &found->second;
 }
 
-void job_scheduler::handle_start_outcome(const worker_order& order, start_outcome outcome, absl::Time now) {
+void job_scheduler::handle_start_outcome(const worker_order& order, start_outcome outcome, absl::Time now,
+                                         std::int64_t started_ms) {
+    worker_state* const worker = find_worker(order.worker);
+    placed_run* const accepted = outcome == start_outcome::accepted ? find_run(order) : nullptr;
+    if (accepted != nullptr) {
+        // Set first, so that the run outlasts the restart that this response may show.
+        accepted->worker_started_ms = std::max(accepted->worker_started_ms, started_ms);
+    }
+    if (worker == nullptr || !admit_response(*worker, started_ms, now)) {
+        return;
+    }
     placed_run* const found = find_run(order);
     if (found == nullptr) {
         return;
     }
-    worker_state* const worker = find_worker(order.worker);
     placed_run& run = *found;
     if (outcome == start_outcome::accepted) {
         if (run.phase == run_phase::starting) {
@@ -254,6 +264,13 @@
             run.responded_at = now;
             run.last_progress_at = now;
         }
+        if (order.worker_started_ms != worker->started_ms) {
+            log("start_accepted_after_restart", order.task.job,
+                {{"task", to_string(order.task)},
+                 {"run", std::to_string(order.run)},
+                 {"worker", order.worker.value()},
+                 {"worker_started_ms", std::to_string(worker->started_ms)}});
+        }
         record_task_started(order.task.job);
         return;
     }
@@ -261,6 +278,7 @@
         {{"task", to_string(order.task)},
          {"run", std::to_string(order.run)},
          {"worker", order.worker.value()},
+         {"worker_started_ms", std::to_string(worker->started_ms)},
          {"outcome", std::string(to_string(outcome))}});
     if (outcome != start_outcome::not_sent) {
         worker->health.record_refusal(now);
@@ -278,19 +296,31 @@
     return_to_waiting(order.task, order.run, now);
 }
 
-void job_scheduler::handle_stop_response(const worker_order& order, bool is_confirmed, absl::Time now) {
+void job_scheduler::handle_stop_response(const worker_order& order, bool is_confirmed, absl::Time now,
+                                         std::int64_t started_ms) {
+    worker_state* const worker = find_worker(order.worker);
+    if (worker == nullptr || !admit_response(*worker, started_ms, now)) {
+        return;
+    }
     placed_run* const run = find_run(order);
     if (run == nullptr) {
         return;
     }
-    run->is_stop_sent = is_confirmed;
+    // A response that names no incarnation may be of the one for which the order was planned.
+    const bool may_be_outdated = started_ms == 0 && order.worker_started_ms != worker->started_ms;
+    run->is_stop_sent = is_confirmed && !may_be_outdated;
     run->next_stop_at = now + options_.stop_retry_interval;
-    if (is_confirmed) {
+    if (run->is_stop_sent) {
         run->responded_at = now;
     }
 }
 
-void job_scheduler::handle_throttle_response(const worker_order& order, bool is_confirmed) {
+void job_scheduler::handle_throttle_response(const worker_order& order, bool is_confirmed, absl::Time now,
+                                             std::int64_t started_ms) {
+    worker_state* const worker = find_worker(order.worker);
+    if (worker == nullptr || !admit_response(*worker, started_ms, now)) {
+        return;
+    }
     placed_run* const run = find_run(order);
     if (run != nullptr && !is_confirmed) {
         // Whether the order took effect is not known, so the next plan sends it again.
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -33,6 +33,8 @@
     std::string checkpoint = {};
     // Only in throttle orders: the share of its full speed at which the run may work.
     int speed_percent = 100;
+    // Start of the worker's last known incarnation when the order was planned; 0 if none was known.
+    std::int64_t worker_started_ms = 0;
 };
 
 // The outcome of a start order.
@@ -126,6 +128,7 @@
     void set_rules(std::span<const queue_rules> queues, std::span<const worker_pool_rules> pools);
 
     // Replaces the worker entries read from the directory. Workers that are no longer listed get no tasks.
+    // An entry never ends a run, whatever start it names, because other programs may write entries too.
     // Returns the workers whose state was removed.
     std::vector<worker_id> set_workers(std::span<const worker_entry> entries, absl::Time now);
 
@@ -156,9 +159,15 @@
     // Since this owner started, every worker has reported, its leases have expired or it has terminated.
     bool is_every_worker_accounted_for() const;
 
-    void handle_start_outcome(const worker_order& order, start_outcome outcome, absl::Time now);
-    void handle_stop_response(const worker_order& order, bool is_confirmed, absl::Time now);
-    void handle_throttle_response(const worker_order& order, bool is_confirmed);
+    // Process the outcome of an order. `started_ms` is the start of the worker's incarnation that responded;
+    // 0 if there was no response or it names none. A response of an incarnation before the known one changes
+    // nothing. A response of a later one shows that the worker has restarted.
+    void handle_start_outcome(const worker_order& order, start_outcome outcome, absl::Time now,
+                              std::int64_t started_ms = 0);
+    void handle_stop_response(const worker_order& order, bool is_confirmed, absl::Time now,
+                              std::int64_t started_ms = 0);
+    void handle_throttle_response(const worker_order& order, bool is_confirmed, absl::Time now,
+                                  std::int64_t started_ms = 0);
 
     // Returns the stop and throttle orders to send now, and plans starts, which confirm_batch() returns once
     // their records are stored. `wall_clock_offset` is the wall-clock time minus `now`.
@@ -202,7 +211,12 @@
 
     void add_run(worker_state& worker, const task_name& task, const placed_run& run);
     void remove_run(worker_state& worker, const task_name& task);
+    // Compares the incarnation that a response names with the known one, and begins it if it is later.
+    // Returns false for a response of an earlier one, which must have no effect.
+    bool admit_response(worker_state& worker, std::int64_t started_ms, absl::Time now);
     void begin_incarnation(worker_state& worker, std::int64_t started_ms, absl::Time now);
+    // Releases the runs that ended with the earlier incarnation of the worker.
+    void release_runs_of_earlier_incarnation(worker_state& worker, absl::Time now);
     void handle_listed_run(worker_state& worker, const listed_run& run, absl::Time sent_at, absl::Time now);
     void handle_listed_end(worker_state& worker, const listed_end& end, absl::Time now);
     // Releases runs that a complete report should list but does not. Returns whether there were any.
--- a/source/decision/jobs/worker_state.h
+++ b/source/decision/jobs/worker_state.h
@@ -45,6 +45,8 @@
     // confirmed.
     bool is_stop_sent = false;
     absl::Time next_stop_at = absl::InfinitePast();
+    // Start of the worker's incarnation that has shown to have the run; 0 until a response shows one.
+    std::int64_t worker_started_ms = 0;
     int percent = 0;
     absl::Time last_progress_at = {};
     std::int64_t load = 0;
@@ -72,6 +74,7 @@
     // The platform's list of VMs shows that this incarnation of the worker has terminated.
     bool is_terminated = false;
     absl::Time known_since = {};
+    // Start of the incarnation that the worker's responses named last; 0 if none has named one.
     std::int64_t started_ms = 0;
     std::map<task_name, placed_run> runs = {};
     resource_amount reserved = {};
--- a/source/jobs/ownership.h
+++ b/source/jobs/ownership.h
@@ -17,9 +17,10 @@
 public:
     ownership(fencing_token_value fencing_token, const ownership_limits& limits, absl::Time granted_at,
               const clock& time)
-        : fencing_token_(fencing_token), clock_(time), lease_(limits, granted_at) {}
+        : fencing_token_(fencing_token), limits_(limits), clock_(time), lease_(limits, granted_at) {}
 
     fencing_token_value fencing_token() const { return fencing_token_; }
+    const ownership_limits& limits() const { return limits_; }
 
     // Returns whether the owner may act. Callers check this immediately before each action. A term that has
     // ended never becomes valid again, because threads exit when they see that it has ended.
@@ -47,6 +48,7 @@
 
 private:
     const fencing_token_value fencing_token_;
+    const ownership_limits limits_;
     const clock& clock_;
     mutable std::mutex mutex_;
     owner_lease lease_;
--- a/source/jobs/shard_listener.cpp
+++ b/source/jobs/shard_listener.cpp
@@ -48,24 +48,24 @@
     plan_needed_.notify_one();
 }
 
-void shard_owner::on_start(const worker_order& order, start_outcome outcome) {
+void shard_owner::on_start(const worker_order& order, start_outcome outcome, std::int64_t started_ms) {
     count("masticpass_starts_total", "outcome", to_string(outcome));
     const std::lock_guard<std::mutex> lock(mutex_);
-    scheduler_.handle_start_outcome(order, outcome, dependencies_.time.now());
+    scheduler_.handle_start_outcome(order, outcome, dependencies_.time.now(), started_ms);
     if (outcome != start_outcome::accepted) {
         must_plan_ = true;
         plan_needed_.notify_one();
     }
 }
 
-void shard_owner::on_stop(const worker_order& order, bool is_confirmed) {
+void shard_owner::on_stop(const worker_order& order, bool is_confirmed, std::int64_t started_ms) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    scheduler_.handle_stop_response(order, is_confirmed, dependencies_.time.now());
+    scheduler_.handle_stop_response(order, is_confirmed, dependencies_.time.now(), started_ms);
 }
 
-void shard_owner::on_throttle(const worker_order& order, bool is_confirmed) {
+void shard_owner::on_throttle(const worker_order& order, bool is_confirmed, std::int64_t started_ms) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    scheduler_.handle_throttle_response(order, is_confirmed);
+    scheduler_.handle_throttle_response(order, is_confirmed, dependencies_.time.now(), started_ms);
 }
 
 void shard_owner::on_superseded(const worker_id& worker) {
--- a/source/jobs/worker_channel.h
+++ b/source/jobs/worker_channel.h
@@ -46,6 +46,15 @@
     start_outcome outcome = start_outcome::unknown;
     // The worker has seen a higher fencing token.
     bool is_superseded = false;
+    // Start of the worker's incarnation that responded; 0 if there was no response or it names none.
+    std::int64_t started_ms = 0;
+};
+
+// The result of a stop or throttle order.
+struct order_response {
+    tl::expected<void, worker_error> result = {};
+    // As in start_response.
+    std::int64_t started_ms = 0;
 };
 
 // The connection to one worker. At most one poll and one order may be in progress at a time. Each callback is
@@ -55,7 +64,7 @@
 public:
     using poll_callback = std::function<void(tl::expected<poll_response, worker_error>)>;
     using start_callback = std::function<void(start_response)>;
-    using order_callback = std::function<void(tl::expected<void, worker_error>)>;
+    using order_callback = std::function<void(const order_response&)>;
 
     worker_channel() = default;
     worker_channel(const worker_channel&) = delete;
--- a/source/jobs/worker_session.cpp
+++ b/source/jobs/worker_session.cpp
@@ -31,7 +31,7 @@
       clock_(time),
       options_(configured),
       timer_(loop),
-      worker_clock_(ownership_limits{}.minimum_worker_clock_rate) {
+      worker_clock_(owner_->limits()) {
     worker_clock_.assume_lease_until(possible_lease_end);
 }
 
@@ -77,8 +77,11 @@
     }
     const absl::Time sent_at = clock_.now();
     poll_request request{.fencing_token = owner_->fencing_token(),
-                         .last_acknowledged_run_end = listener_.last_stored_run_end(worker_),
                          .lease_until_ms = extend_run_leases(sent_at)};
+    // After a failed poll the worker may have restarted and numbers its run ends anew.
+    if (was_last_poll_successful_) {
+        request.last_acknowledged_run_end = listener_.last_stored_run_end(worker_);
+    }
     // A poll that extends no lease, such as the first one, presents the fencing token and requests the
     // current runs. Its response must not be delayed.
     request.wait = request.lease_until_ms ? options_.poll_wait : absl::ZeroDuration();
@@ -96,7 +99,7 @@
         poll_after(options_.retry_delay);
         return;
     }
-    worker_clock_.observe(response->clock_ms, clock_.now());
+    worker_clock_.observe(response->report.started_ms, response->clock_ms, clock_.now());
     was_last_poll_successful_ = true;
     is_lease_expired_ = false;
     listener_.on_report(worker_, response->report, sent_at);
@@ -146,20 +149,21 @@
         return;
     }
     const bool is_stop = order.kind == worker_order::order_kind::stop;
-    const auto done = [this, order, is_stop](const tl::expected<void, worker_error>& response) {
+    const auto done = [this, order, is_stop](const order_response& response) {
         const auto self = shared_from_this();
-        if (!response && response.error() == worker_error::superseded) {
+        worker_clock_.note_incarnation(response.started_ms, clock_.now());
+        if (!response.result && response.result.error() == worker_error::superseded) {
             listener_.on_superseded(worker_);
         }
         if (is_stop) {
-            listener_.on_stop(order, response.has_value());
+            listener_.on_stop(order, response.result.has_value(), response.started_ms);
         } else {
-            listener_.on_throttle(order, response.has_value());
+            listener_.on_throttle(order, response.result.has_value(), response.started_ms);
         }
         finish_order();
     };
     if (!owner_->is_valid()) {
-        done(tl::unexpected(worker_error::unreachable));
+        done({.result = tl::unexpected(worker_error::unreachable)});
     } else if (is_stop) {
         channel_->stop(order, owner_->fencing_token(), done);
     } else {
@@ -171,17 +175,18 @@
     const std::optional<std::int64_t> lease_until_ms =
         owner_->is_valid() ? extend_run_leases(clock_.now()) : std::nullopt;
     if (!lease_until_ms || !owner_->is_valid()) {
-        listener_.on_start(order, start_outcome::not_sent);
+        listener_.on_start(order, start_outcome::not_sent, 0);
         finish_order();
         return;
     }
     channel_->start(order, *lease_until_ms, owner_->fencing_token(),
                     [this, order](const start_response& response) {
                         const auto self = shared_from_this();
+                        worker_clock_.note_incarnation(response.started_ms, clock_.now());
                         if (response.is_superseded) {
                             listener_.on_superseded(worker_);
                         }
-                        listener_.on_start(order, response.outcome);
+                        listener_.on_start(order, response.outcome, response.started_ms);
                         finish_order();
                     });
 }
--- a/source/jobs/worker_session.h
+++ b/source/jobs/worker_session.h
@@ -31,10 +31,12 @@
     virtual void on_unreachable(const worker_id& worker, worker_error error) = 0;
     // A poll has failed, and every run lease on the worker has expired. Called once until a poll succeeds.
     virtual void on_lease_expired(const worker_id& worker) = 0;
-    virtual void on_start(const worker_order& order, start_outcome outcome) = 0;
+    // In the following methods, `started_ms` is the start of the worker's incarnation that responded; 0 if
+    // there was no response or it names none.
+    virtual void on_start(const worker_order& order, start_outcome outcome, std::int64_t started_ms) = 0;
     // `is_confirmed` is false if the order was refused or not sent, or if there was no response.
-    virtual void on_stop(const worker_order& order, bool is_confirmed) = 0;
-    virtual void on_throttle(const worker_order& order, bool is_confirmed) = 0;
+    virtual void on_stop(const worker_order& order, bool is_confirmed, std::int64_t started_ms) = 0;
+    virtual void on_throttle(const worker_order& order, bool is_confirmed, std::int64_t started_ms) = 0;
     // The worker has seen a higher fencing token.
     virtual void on_superseded(const worker_id& worker) = 0;
     // Returns the sequence number up to which the run ends of the worker are stored.
--- a/tests/decision/jobs/job_simulation.cpp
+++ b/tests/decision/jobs/job_simulation.cpp
@@ -12,6 +12,14 @@
 constexpr absl::Duration poll_interval = absl::Milliseconds(80);
 constexpr absl::Duration renewal_interval = absl::Milliseconds(500);
 constexpr std::int64_t worker_cpu_millis = 4000;
+// The sender of an order closes its connection after this time, and the order is lost if it is still in
+// transit.
+constexpr absl::Duration order_timeout = absl::Milliseconds(700);
+// A worker that restarts while a start is in transit may execute it with a run lease of the longest duration,
+// because the time that the order carries is of the earlier clock. No owner can know of a lease that long if
+// the worker then becomes unreachable, so the simulation does not partition a worker for this time after its
+// restart.
+constexpr absl::Duration connected_after_restart = absl::Seconds(13);
 
 }  // namespace
 
@@ -106,9 +114,32 @@
     worker.is_alive = false;
 }
 
+void job_simulation::restart(simulated_worker& worker) {
+    worker.runs.clear();
+    worker.ends.clear();
+    worker.last_end = 0;
+    worker.lease_end_ms = 0;
+    std::erase_if(worker.delayed_orders, [&](const delayed_order& delayed) {
+        return delayed.sent_at + order_timeout < now_ || delayed.fencing_token < worker.fencing_token ||
+               delayed.order.run <= worker.highest_blocked_run[delayed.order.task];
+    });
+    for (delayed_order& delayed : worker.delayed_orders) {
+        delayed.at = std::min(delayed.at, delayed.sent_at + order_timeout);
+    }
+    worker.fencing_token = 0;
+    worker.highest_blocked_run.clear();
+    worker.started_at = now_;
+    ++worker.entry.started_ms;
+    worker.partitioned_until = now_;
+    worker.connected_until = now_ + connected_after_restart;
+}
+
 void job_simulation::add_faults() {
     for (auto& [id, worker] : workers_) {
-        if (worker.is_alive && chance(2)) {
+        if (worker.is_alive && chance(3)) {
+            restart(worker);
+        }
+        if (worker.is_alive && now_ >= worker.connected_until && chance(2)) {
             worker.partitioned_until = now_ + random_duration(200, 14000);
             worker.partitioned_fencing_token = chance(500) ? last_fencing_token_ + 1 : 0;
         }
@@ -238,7 +269,8 @@
         }
     }
     for (auto& [id, worker] : workers_) {
-        if (now_ >= owner.connections[id].next_poll) {
+        deliver_report(owner, worker);
+        if (now_ >= owner.connections[id].next_poll && !owner.connections[id].report) {
             owner.connections[id].next_poll = now_ + poll_interval;
             poll(owner, worker);
         }
@@ -278,12 +310,12 @@
         const std::int64_t until = connection.clock.extend_lease(owner.lease.run_lease_end(now_));
         worker.lease_end_ms = std::max(worker.lease_end_ms, until);
     }
-    connection.clock.observe(worker.clock_ms(now_), now_);
-    connection.is_responding = true;
-    connection.is_lease_expired = false;
     const worker_state& state = owner.scheduler.workers().at(worker.entry.id);
-    const std::int64_t acknowledged =
+    const std::int64_t last_end =
         options_.acknowledges_before_storing ? state.last_processed_end : state.last_stored_end;
+    // The session acknowledges no run ends after a failed poll, since the worker may have restarted.
+    const bool has_restarted = state.started_ms != worker.entry.started_ms;
+    const std::int64_t acknowledged = connection.is_responding && !has_restarted ? last_end : 0;
     std::erase_if(worker.ends, [&](const listed_end& end) {
         if (end.sequence_number <= acknowledged && end.outcome == run_outcome::done) {
             acknowledged_completions_.insert(end.task);
@@ -295,7 +327,31 @@
         report.running.push_back(
             {.task = task, .run = run.run, .progress_percent = static_cast<int>(random_() % 100)});
     }
-    owner.scheduler.handle_report(worker.entry.id, report, now_, now_);
+    const bool is_slow = has_faults_ && chance(200);
+    connection.report = {.at = is_slow ? now_ + random_duration(40, 600) : now_,
+                         .sent_at = now_,
+                         .clock_ms = worker.clock_ms(now_),
+                         .report = std::move(report)};
+    deliver_report(owner, worker);
+}
+
+void job_simulation::deliver_report(simulated_owner& owner, simulated_worker& worker) {
+    worker_connection& connection = owner.connections[worker.entry.id];
+    if (!connection.report || now_ < connection.report->at) {
+        return;
+    }
+    const delayed_report arrived = *std::exchange(connection.report, std::nullopt);
+    if (!owner.scheduler.workers().contains(worker.entry.id)) {
+        return;
+    }
+    connection.clock.observe(arrived.report.started_ms, arrived.clock_ms, now_);
+    connection.is_responding = true;
+    connection.is_lease_expired = false;
+    const std::int64_t known_ms = owner.scheduler.workers().at(worker.entry.id).started_ms;
+    if (options_.releases_all_runs_at_restart && arrived.report.started_ms > known_ms) {
+        owner.scheduler.handle_lease_expired(worker.entry.id, now_);
+    }
+    owner.scheduler.handle_report(worker.entry.id, arrived.report, arrived.sent_at, now_);
 }
 
 void job_simulation::send_orders(simulated_owner& owner, const std::vector<worker_order>& orders) {
@@ -308,7 +364,7 @@
     worker_connection& connection = owner.connections[order.worker];
     simulated_worker& worker = workers_.at(order.worker);
     if (order.kind == worker_order::order_kind::start &&
-        (!connection.is_responding || connection.is_lease_expired)) {
+        (!connection.is_responding || connection.is_lease_expired || !connection.clock.has_reading())) {
         owner.scheduler.handle_start_outcome(order, start_outcome::not_sent, now_);
         return;
     }
@@ -324,7 +380,7 @@
                 worker.end_run(order.task, run_outcome::stopped);
             }
         }
-        owner.scheduler.handle_stop_response(order, !is_lost, now_);
+        owner.scheduler.handle_stop_response(order, !is_lost, now_, is_lost ? 0 : worker.entry.started_ms);
         return;
     }
     const std::int64_t until = connection.clock.extend_lease(owner.lease.run_lease_end(now_));
@@ -332,7 +388,8 @@
     if (!is_lost) {
         outcome = start_at(worker, order, until, owner.fencing_token);
     } else if (worker.is_alive && chance(500)) {
-        worker.delayed_orders.push_back({.at = now_ + random_duration(20, 6000),
+        worker.delayed_orders.push_back({.sent_at = now_,
+                                         .at = now_ + random_duration(20, 6000),
                                          .order = order,
                                          .until_ms = until,
                                          .fencing_token = owner.fencing_token});
@@ -340,7 +397,12 @@
     if (outcome == start_outcome::unknown && options_.treats_lost_starts_as_unsent) {
         outcome = start_outcome::not_sent;
     }
-    owner.scheduler.handle_start_outcome(order, outcome, now_);
+    // Half of the responses name no incarnation.
+    const std::int64_t started_ms = is_lost || chance(500) ? 0 : worker.entry.started_ms;
+    if (started_ms != 0) {
+        connection.clock.note_incarnation(started_ms, now_);
+    }
+    owner.scheduler.handle_start_outcome(order, outcome, now_, started_ms);
 }
 
 start_outcome job_simulation::start_at(simulated_worker& worker, const worker_order& order,
@@ -360,7 +422,9 @@
         return start_outcome::insufficient_capacity;
     }
     worker.fencing_token = fencing_token;
-    worker.lease_end_ms = std::max(worker.lease_end_ms, until_ms);
+    const std::int64_t latest_end_ms =
+        worker.clock_ms(now_) + absl::ToInt64Milliseconds(limits_.maximum_run_lease);
+    worker.lease_end_ms = std::max(worker.lease_end_ms, std::min(until_ms, latest_end_ms));
     check_start(worker, order);
     worker.runs[order.task] = {
         .run = order.run,
--- a/tests/decision/jobs/job_simulation.h
+++ b/tests/decision/jobs/job_simulation.h
@@ -16,11 +16,12 @@
 namespace masticpass {
 
 // Simulates workers, a store and shard owners in one process with virtual time. The owners run the production
-// decision code. The simulation delivers, loses and delays their messages, crashes workers and owners, pauses
-// owners, and checks the invariants: at most one run of a task exists, no task starts before the steps that
-// it depends on or after its completion was stored or acknowledged, no task exceeds its maximum number of
-// attempts, no record changes after its job ended, and in the end every job has ended. Simulated workers
-// refuse starts that exceed their capacity. Thread safety: none.
+// decision code. The simulation delivers, loses and delays their messages, crashes workers and owners,
+// restarts workers under the same id, pauses owners, and checks the invariants: at most one run of a task
+// exists, no task starts before the steps that it depends on or after its completion was stored or
+// acknowledged, no task exceeds its maximum number of attempts, no record changes after its job ended, and in
+// the end every job has ended. Simulated workers refuse starts that exceed their capacity. Thread safety:
+// none.
 class job_simulation {
 public:
     struct options {
@@ -30,6 +31,7 @@
         bool treats_lost_starts_as_unsent = false;
         bool skips_takeover_wait = false;
         bool acknowledges_before_storing = false;
+        bool releases_all_runs_at_restart = false;
     };
 
     explicit job_simulation(const options& options);
@@ -49,17 +51,27 @@
         std::int64_t cpu_millis = 0;
     };
     struct delayed_order {
+        absl::Time sent_at = {};
         absl::Time at = {};
         worker_order order = {};
         std::int64_t until_ms = 0;
         fencing_token_value fencing_token = 0;
     };
+    // A response to a poll that has not arrived yet.
+    struct delayed_report {
+        absl::Time at = {};
+        absl::Time sent_at = {};
+        std::int64_t clock_ms = 0;
+        worker_report report = {};
+    };
     struct simulated_worker {
         worker_entry entry = {};
         absl::Time started_at = {};
         double clock_rate = 1.0;
         bool is_alive = true;
         absl::Time partitioned_until = {};
+        // No partition begins before this time.
+        absl::Time connected_until = {};
         // Owners with a lower fencing token than this still reach the worker.
         fencing_token_value partitioned_fencing_token = 0;
         std::int64_t lease_end_ms = 0;
@@ -77,10 +89,11 @@
         void end_run(const task_name& task, run_outcome end);
     };
     struct worker_connection {
-        worker_clock clock{0.98};
+        worker_clock clock{ownership_limits{}};
         bool is_responding = false;
         bool is_lease_expired = false;
         absl::Time next_poll = {};
+        std::optional<delayed_report> report = {};
     };
     struct simulated_owner {
         simulated_owner(const ownership_limits& limits, fencing_token_value token, absl::Time now,
@@ -118,11 +131,16 @@
     void add_load();
     void add_faults();
     void crash(simulated_worker& worker);
+    // Starts a new incarnation of the worker under the same id. It may execute start orders that are in
+    // transit.
+    void restart(simulated_worker& worker);
     void run_workers();
     void elect_owner();
     void run_owner(simulated_owner& owner);
     void load_jobs(simulated_owner& owner);
     void poll(simulated_owner& owner, simulated_worker& worker);
+    // Delivers the response to a poll once it has arrived.
+    void deliver_report(simulated_owner& owner, simulated_worker& worker);
     void send_orders(simulated_owner& owner, const std::vector<worker_order>& orders);
     void send_order(simulated_owner& owner, const worker_order& order);
     start_outcome start_at(simulated_worker& worker, const worker_order& order, std::int64_t until_ms,
--- a/tests/decision/jobs/job_simulation_test.cpp
+++ b/tests/decision/jobs/job_simulation_test.cpp
@@ -23,7 +23,8 @@
 }  // namespace
 
 // Random sequences of faults: owners crash, are paused and lose their record in the store unnoticed; workers
-// crash and are partitioned; orders and responses are lost or delayed; and the store is unavailable.
+// crash, restart under the same id and are partitioned; orders and responses are lost or delayed; and the
+// store is unavailable.
 TEST_CASE("no random fault sequence runs a task twice, out of order or never") {
     std::string what;
     const unsigned seed = first_failing_seed({}, seed_count, what);
@@ -47,6 +48,9 @@
     SUBCASE("a new owner does not wait for workers that do not respond") {
         CHECK(first_failing_seed({.skips_takeover_wait = true}, 500, what) != 0);
     }
+    SUBCASE("the restart of a worker releases runs that the new incarnation has accepted") {
+        CHECK(first_failing_seed({.releases_all_runs_at_restart = true}, 500, what) != 0);
+    }
     SUBCASE("a run end is acknowledged before its record is stored") {
         CHECK(first_failing_seed({.acknowledges_before_storing = true}, 500, what) != 0);
     }
--- a/tests/decision/jobs/owner_lease_test.cpp
+++ b/tests/decision/jobs/owner_lease_test.cpp
@@ -31,14 +31,36 @@
         if (!lease.is_valid(sent_at)) {
             continue;
         }
-        worker_clock clock(limits.minimum_worker_clock_rate);
-        clock.observe(0, sent_at - absl::Milliseconds(milliseconds(random) % 1000));
+        worker_clock clock(limits);
+        clock.observe(1, 0, sent_at - absl::Milliseconds(milliseconds(random) % 1000));
         clock.extend_lease(lease.run_lease_end(sent_at));
         INFO("round ", round);
         CHECK(clock.lease_end() <= taken_over_at + limits.takeover_wait());
     }
 }
 
+// Guards against a task that starts elsewhere while a restarted worker still runs it: the worker executed an
+// order that carried a time of its earlier clock, and granted the longest run lease.
+TEST_CASE("the run leases of a restarted worker end after the longest duration") {
+    const ownership_limits limits;
+    worker_clock clock(limits);
+    clock.observe(1, 500000, start);
+    clock.extend_lease(start + limits.run_lease_duration);
+    const absl::Time restart_seen_at = start + absl::Seconds(1);
+    clock.note_incarnation(2, restart_seen_at);
+    CHECK_FALSE(clock.has_reading());
+    CHECK(clock.lease_end() >= restart_seen_at + limits.maximum_run_lease / limits.minimum_worker_clock_rate);
+    SUBCASE("a late reading of the earlier clock is ignored") {
+        clock.observe(1, 500900, restart_seen_at);
+        CHECK_FALSE(clock.has_reading());
+    }
+    SUBCASE("a reading of the new clock is used") {
+        clock.observe(2, 30, restart_seen_at);
+        REQUIRE(clock.has_reading());
+        CHECK(clock.extend_lease(restart_seen_at + absl::Seconds(1)) == 1030);
+    }
+}
+
 // Guards against work that is lost because an outage of the store outlasts the run leases.
 TEST_CASE("an owner that cannot renew its lease extends run leases beyond it") {
     const ownership_limits limits;
--- a/tests/jobs/worker_session_test.cpp
+++ b/tests/jobs/worker_session_test.cpp
@@ -22,6 +22,11 @@
         std::atomic<int> starts = 0;
         std::atomic<int> lease_extensions_while_unreachable = 0;
         std::atomic<bool> is_superseded = false;
+        std::atomic<bool> holds_polls = false;
+        std::atomic<std::int64_t> started_ms = 1;
+        // The run end that the last poll acknowledged, and the one of the last poll without a response.
+        std::atomic<std::int64_t> acknowledged = 0;
+        std::atomic<std::int64_t> acknowledged_after_failure = 0;
     };
 
     fake_channel(script& behaviour, boost::asio::io_context& loop)
@@ -29,16 +34,14 @@
 
     void poll(const poll_request& request, poll_callback done) override {
         ++script_.polls;
-        timer_.expires_after(std::chrono::milliseconds(2));
-        timer_.async_wait([response = make_response(request), done](const boost::system::error_code& error) {
-            if (!error) {
-                done(response);
-            }
-        });
+        script_.acknowledged = request.last_acknowledged_run_end;
+        respond_later(request, std::move(done));
     }
     void start(const worker_order&, std::int64_t, fencing_token_value, start_callback done) override {
         ++script_.starts;
-        boost::asio::post(loop_, [done] { done({.outcome = start_outcome::accepted}); });
+        boost::asio::post(loop_, [done, started_ms = script_.started_ms.load()] {
+            done({.outcome = start_outcome::accepted, .started_ms = started_ms});
+        });
     }
     void stop(const worker_order&, fencing_token_value, order_callback done) override {
         boost::asio::post(loop_, [done] { done({}); });
@@ -48,6 +51,19 @@
     }
 
 private:
+    void respond_later(const poll_request& request, poll_callback done) {
+        timer_.expires_after(std::chrono::milliseconds(2));
+        timer_.async_wait([this, request, done](const boost::system::error_code& error) {
+            if (error) {
+                return;
+            }
+            if (script_.holds_polls) {
+                respond_later(request, done);
+            } else {
+                done(make_response(request));
+            }
+        });
+    }
     tl::expected<poll_response, worker_error> make_response(const poll_request& request) {
         if (script_.is_superseded) {
             return tl::unexpected(worker_error::superseded);
@@ -56,9 +72,10 @@
             // The first poll without a response may extend leases, because the worker was still considered
             // reachable when the poll was sent.
             script_.lease_extensions_while_unreachable += request.lease_until_ms ? 1 : 0;
+            script_.acknowledged_after_failure = request.last_acknowledged_run_end;
             return tl::unexpected(worker_error::unreachable);
         }
-        return poll_response{.clock_ms = 1000, .report = {.started_ms = 1}};
+        return poll_response{.clock_ms = 1000, .report = {.started_ms = script_.started_ms}};
     }
 
     script& script_;
@@ -71,14 +88,14 @@
     void on_report(const worker_id&, const worker_report&, absl::Time) override { ++reports; }
     void on_unreachable(const worker_id&, worker_error) override { ++unreachable_reports; }
     void on_lease_expired(const worker_id&) override { ++expired_leases; }
-    void on_start(const worker_order&, start_outcome outcome) override {
+    void on_start(const worker_order&, start_outcome outcome, std::int64_t) override {
         not_sent += outcome == start_outcome::not_sent ? 1 : 0;
         accepted += outcome == start_outcome::accepted ? 1 : 0;
     }
-    void on_stop(const worker_order&, bool) override {}
-    void on_throttle(const worker_order&, bool) override {}
+    void on_stop(const worker_order&, bool, std::int64_t) override {}
+    void on_throttle(const worker_order&, bool, std::int64_t) override {}
     void on_superseded(const worker_id&) override { ++superseded; }
-    std::int64_t last_stored_run_end(const worker_id&) override { return 0; }
+    std::int64_t last_stored_run_end(const worker_id&) override { return 57; }
     absl::Duration delay_after_run_ends() override { return absl::Milliseconds(5); }
 
     std::atomic<int> reports = 0;
@@ -147,6 +164,38 @@
     REQUIRE(fakes::wait_until([&] { return fixture.listener.accepted == 1; }));
 }
 
+// Guards against run ends that are lost: a restarted worker numbers its run ends anew, and the number that
+// was stored for the earlier incarnation acknowledged them.
+TEST_CASE("after a failed poll no run end is acknowledged until the worker has responded") {
+    session_fixture fixture;
+    const auto session = fixture.open();
+    REQUIRE(fakes::wait_until([&] { return fixture.script.acknowledged == 57; }));
+    fixture.script.is_responding = false;
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.unreachable_reports > 1; }));
+    CHECK(fixture.script.acknowledged_after_failure == 0);
+    fixture.script.started_ms = 2;
+    fixture.script.is_responding = true;
+    REQUIRE(fakes::wait_until([&] { return fixture.script.acknowledged == 57; }));
+}
+
+// Guards against a start that is sent with a time of the clock of an incarnation that has ended.
+TEST_CASE("a start that shows a restart is the last one until the new clock was read") {
+    session_fixture fixture;
+    const auto session = fixture.open();
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.reports > 0; }));
+    fixture.script.holds_polls = true;
+    const int reports = fixture.listener.reports;
+    fixture.script.started_ms = 2;
+    fixture.send(session);
+    fixture.send(session);
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.not_sent == 1; }));
+    CHECK(fixture.script.starts == 1);
+    fixture.script.holds_polls = false;
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.reports > reports + 1; }));
+    fixture.send(session);
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.accepted == 2; }));
+}
+
 // Guards against orders of an owner whose term has ended.
 TEST_CASE("no order is sent after the term has ended") {
     session_fixture fixture;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -105,6 +105,27 @@
     CHECK_FALSE(parse_poll_response("nothing").has_value());
 }
 
+// Guards against a response of a restarted worker that is taken for one of its earlier incarnation.
+TEST_CASE("each response to an order names the incarnation that sent it") {
+    const start_response accepted = parse_start_response(200, R"({"clock_ms":5,"born":12})");
+    CHECK(accepted.outcome == start_outcome::accepted);
+    CHECK(accepted.started_ms == 12);
+    const start_response full = parse_start_response(409, R"({"clock_ms":5,"born":13,"reason":"room"})");
+    CHECK(full.outcome == start_outcome::insufficient_capacity);
+    CHECK(full.started_ms == 13);
+    CHECK(parse_start_response(409, R"({"reason":"fence"})").is_superseded);
+    CHECK(parse_start_response(503, "").outcome == start_outcome::unhealthy);
+    CHECK(parse_start_response(421, "[[").outcome == start_outcome::refused);
+    CHECK(parse_start_response(200, "").started_ms == 0);
+    const order_response stopped = parse_order_response(200, R"({"born":14})");
+    CHECK(stopped.result.has_value());
+    CHECK(stopped.started_ms == 14);
+    const order_response refused = parse_order_response(409, R"({"born":15,"reason":"fence"})");
+    CHECK(refused.result == tl::unexpected(worker_error::superseded));
+    CHECK(refused.started_ms == 15);
+    CHECK(parse_order_response(421, "").result == tl::unexpected(worker_error::other_worker));
+}
+
 TEST_CASE("the longest matching path prefix of a host selects the route") {
     const auto configuration = parse_fleet_configuration(
         R"({"version":7,"routes":[{"name":"r-1","host":"h","prefix":"/a/","service":"p","max_attempts":4,"stretch":1.6,)"
