Contain unexpected errors in one thread, and limit values from outside

Cause, from reading each path by which bytes from outside reach a thread, and from tests that failed first: - An exception in any loop of the owner, in its event loop, in the election, in the configuration watch or in a periodic thread ended the process. Such exceptions could come from outside: a next_token of the VM list that is no string, and an address that is no string in the list of known workers. - An exception while a batch of jobs was stored left all later submissions waiting forever. - An entry of the directory with an enormous or negative capacity, or a negative start, was taken for a worker; sums of capacity could overflow. Progress and load were converted from doubles out of range. - After an unknown outcome (504) the same entry VM told a caller that sent the job again "not accepted" (503), although the first transaction could still be executed. - X-Timeout-Ms had no upper limit, so a request could hold its thread for as long as the store was unresponsive.

Change: call_guarded() is the boundary of each thread. It logs unexpected_exception; the owner then ends its term, the other loops continue. The intake remembers jobs with an unknown outcome for 60 s and never reports them as refused.

Tests: "an exception in a thread of the owner ends the term", "an odd entry names no worker and hides no other entry" (24 odd values), "values of unexpected types and sizes...", "a job is not refused after an earlier call...", and those of the watch, the intake and the timeout.

--- a/source/agent/periodic_thread.h
+++ b/source/agent/periodic_thread.h
@@ -9,10 +9,12 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
+#include "telemetry/guarded_call.h"
+
 namespace masticpass {
 
 // A thread that runs a function repeatedly, with a pause after each run. The pause is fixed or is returned by
-// the function.
+// the function. An exception of the function is logged, and the function runs again after a pause.
 // Thread safety: `wake` may be called from any thread; construct and destroy on one thread. The destructor
 // waits for the run in progress.
 class periodic_thread {
@@ -43,7 +45,8 @@
 private:
     void loop() {
         while (true) {
-            const absl::Duration pause = work_();
+            absl::Duration pause = pause_after_exception;
+            call_guarded("periodic-work", [&] { pause = work_(); });
             const absl::MutexLock lock(&mutex_);
             mutex_.AwaitWithTimeout(absl::Condition(this, &periodic_thread::should_resume), pause);
             if (stopping_) {
@@ -55,6 +58,8 @@
 
     bool should_resume() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return stopping_ || wake_requested_; }
 
+    static constexpr absl::Duration pause_after_exception = absl::Seconds(1);
+
     const std::function<absl::Duration()> work_;
     absl::Mutex mutex_;
     bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
--- a/source/agent/registration_agent.cpp
+++ b/source/agent/registration_agent.cpp
@@ -5,6 +5,7 @@
 #include <absl/random/uniform_real_distribution.h>
 
 #include "decision/membership/incarnation.h"
+#include "telemetry/guarded_call.h"
 #include "telemetry/log.h"
 
 namespace masticpass {
@@ -29,7 +30,8 @@
 void registration_agent::run(const std::stop_token& stop) {
     jittered_backoff backoff(options_.backoff, random_);
     while (!stop.stop_requested()) {
-        const bool succeeded = is_registered_ ? renew_lease() : register_entry(stop);
+        bool succeeded = false;
+        call_guarded("register", [&] { succeeded = is_registered_ ? renew_lease() : register_entry(stop); });
         if (succeeded) {
             backoff.reset();
         }
--- a/source/agent/store_watcher.cpp
+++ b/source/agent/store_watcher.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "telemetry/guarded_call.h"
+
 namespace masticpass {
 
 store_watcher::store_watcher(configuration_store& store, retry_counter& retries, absl::BitGenRef random,
@@ -26,7 +28,10 @@
 void store_watcher::run(const std::stop_token& stop) {
     jittered_backoff backoff(options_.backoff, random_);
     while (!stop.stop_requested()) {
-        if (needs_full_read_ ? read_all() : watch_once(stop)) {
+        bool is_up_to_date = false;
+        call_guarded("watch-store",
+                     [&] { is_up_to_date = needs_full_read_ ? read_all() : watch_once(stop); });
+        if (is_up_to_date) {
             backoff.reset();
         } else {
             wait_unless_stopped(backoff.next(), stop);
--- a/source/decision/jobs/job_json.cpp
+++ b/source/decision/jobs/job_json.cpp
@@ -161,9 +161,8 @@
     if (step.task_count < 1 || step.task_count > maximum_job_tasks) {
         problems.push_back({path + ".count", "must be 1 to " + std::to_string(maximum_job_tasks)});
     }
-    const resource_amount& amount = step.per_task;
-    if (amount.cpu_millis < 0 || amount.memory_mb < 0 || amount.accelerators < 0) {
-        problems.push_back({path, "amounts must not be negative"});
+    if (!step.per_task.is_in_range()) {
+        problems.push_back({path, "amounts must be 0 to " + std::to_string(resource_amount::maximum)});
     }
     if (step.estimate < absl::ZeroDuration()) {
         problems.push_back({path, "the estimate must not be negative"});
--- a/source/decision/jobs/job_types.h
+++ b/source/decision/jobs/job_types.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPASS_DECISION_JOBS_JOB_TYPES_H
 #define MASTICPASS_DECISION_JOBS_JOB_TYPES_H
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,13 @@
     std::int64_t memory_mb = 0;
     std::int64_t accelerators = 0;
 
+    // Upper limit of each amount that comes from outside, so that sums over a fleet do not overflow.
+    static constexpr std::int64_t maximum = 1'000'000'000;
+
+    bool is_in_range() const {
+        return std::min({cpu_millis, memory_mb, accelerators}) >= 0 &&
+               std::max({cpu_millis, memory_mb, accelerators}) <= maximum;
+    }
     bool fits_into(const resource_amount& capacity) const {
         return cpu_millis <= capacity.cpu_millis && memory_mb <= capacity.memory_mb &&
                accelerators <= capacity.accelerators;
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -3,15 +3,20 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <exception>
 #include <system_error>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "telemetry/guarded_call.h"
+
 namespace masticpass {
 
 namespace {
 
+constexpr int status_internal_error = 500;
+
 void apply_options(httplib::Server& server, const http_server_options& options) {
     server.set_tcp_nodelay(true);
     server.set_read_timeout(absl::ToChronoMicroseconds(options.read_timeout));
@@ -20,6 +25,11 @@
         std::max<std::int64_t>(1, absl::ToInt64Seconds(options.keep_alive_timeout)));
     server.set_keep_alive_max_count(options.maximum_requests_per_connection);
     server.set_payload_max_length(options.maximum_request_bytes);
+    server.set_exception_handler(
+        [](const httplib::Request& request, httplib::Response& response, const std::exception_ptr& thrown) {
+            call_guarded("handle " + request.method, [&] { std::rethrow_exception(thrown); });
+            response.status = status_internal_error;
+        });
     server.new_task_queue = [threads = options.worker_threads] { return new httplib::ThreadPool(threads); };
 }
 
--- a/source/jobs/job_intake.cpp
+++ b/source/jobs/job_intake.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "jobs/job_keys.h"
+#include "telemetry/guarded_call.h"
 #include "telemetry/log.h"
 
 namespace masticpass {
@@ -13,6 +14,11 @@
 
 // Delay after a transaction whose outcome is unknown, before its jobs are sent again.
 constexpr std::chrono::milliseconds retry_delay{50};
+// Time for which a job whose transaction had an unknown outcome counts as possibly stored. Callers send a job
+// again for seconds, and the store executes a delayed transaction within seconds.
+constexpr absl::Duration unresolved_retention = absl::Seconds(60);
+// Number of such jobs above which those whose time has passed are forgotten.
+constexpr std::size_t maximum_unresolved_jobs = 4096;
 
 }  // namespace
 
@@ -24,6 +30,7 @@
                       .is_timed = job.specification.is_timed(),
                       .deadline = deadline};
     std::unique_lock<std::mutex> lock(mutex_);
+    entry.may_be_stored_by_earlier_call = is_unresolved(id);
     queue_.push_back(&entry);
     while (!entry.is_done) {
         if (is_committing_) {
@@ -35,11 +42,23 @@
     return entry.result;
 }
 
+bool job_intake::may_be_stored(const job_id& id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_unresolved(id);
+}
+
+bool job_intake::is_unresolved(const job_id& id) const {
+    const auto unresolved = unresolved_jobs_.find(id);
+    return unresolved != unresolved_jobs_.end() && clock_.now() < unresolved->second;
+}
+
 void job_intake::commit_next_batch(std::unique_lock<std::mutex>& lock) {
     is_committing_ = true;
     const std::vector<waiting_job*> batch = take_batch();
     lock.unlock();
-    const std::vector<write_outcome> outcomes = store_batch(batch);
+    // After an exception the transaction may have taken effect.
+    std::vector<write_outcome> outcomes(batch.size(), write_outcome::unresolved);
+    call_guarded("store-jobs", [&] { outcomes = store_batch(batch); });
     if (std::find(outcomes.begin(), outcomes.end(), write_outcome::unresolved) != outcomes.end()) {
         std::this_thread::sleep_for(retry_delay);
     }
@@ -72,12 +91,27 @@
 
 void job_intake::apply_outcome(waiting_job& job, write_outcome outcome, absl::Time now) {
     job.may_be_stored = job.may_be_stored || outcome == write_outcome::unresolved;
-    if (outcome == write_outcome::accepted || outcome == write_outcome::refused) {
+    if (outcome == write_outcome::accepted) {
         job.is_done = true;
-        job.result = outcome == write_outcome::accepted ? submit_result::accepted : submit_result::refused;
-    } else if (now >= job.deadline) {
+        job.result = submit_result::accepted;
+    } else if (outcome == write_outcome::refused || now >= job.deadline) {
         job.is_done = true;
-        job.result = job.may_be_stored ? submit_result::unknown : submit_result::refused;
+        const bool may_be_stored = job.may_be_stored || job.may_be_stored_by_earlier_call;
+        job.result = may_be_stored ? submit_result::unknown : submit_result::refused;
+    }
+    if (job.is_done) {
+        note_result(job, now);
+    }
+}
+
+void job_intake::note_result(const waiting_job& job, absl::Time now) {
+    if (job.result == submit_result::unknown) {
+        unresolved_jobs_.insert_or_assign(job.id, now + unresolved_retention);
+    } else if (job.result == submit_result::accepted) {
+        unresolved_jobs_.erase(job.id);
+    }
+    if (unresolved_jobs_.size() > maximum_unresolved_jobs) {
+        std::erase_if(unresolved_jobs_, [now](const auto& entry) { return entry.second < now; });
     }
 }
 
--- a/source/jobs/job_intake.h
+++ b/source/jobs/job_intake.h
@@ -3,6 +3,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -18,7 +19,7 @@
 
 enum class submit_result {
     accepted,  // The job is stored, by this call or an earlier one.
-    refused,   // The job is not stored, and no earlier transaction of this call can still store it.
+    refused,   // The job is not stored, and no earlier transaction of this process can still store it.
     unknown,   // The job may be stored, or may still be stored by a delayed transaction.
 };
 
@@ -37,6 +38,9 @@
     // Blocks until the outcome is known or `deadline` has passed. Until then it retries a transaction whose
     // outcome is unknown.
     submit_result submit(const job_id& id, const accepted_job& job, absl::Time deadline);
+    // Returns whether an earlier call for the job ended with an unknown outcome, so that a caller must not be
+    // told that the job is not stored.
+    bool may_be_stored(const job_id& id);
 
 private:
     struct waiting_job {
@@ -48,6 +52,8 @@
         absl::Time deadline = {};
         // True if the outcome of an earlier transaction with this job is unknown.
         bool may_be_stored = false;
+        // True if an earlier call for the job ended with an unknown outcome.
+        bool may_be_stored_by_earlier_call = false;
         bool is_done = false;
         submit_result result = submit_result::unknown;
     };
@@ -60,6 +66,8 @@
         not_stored,  // The job is not stored because another one conflicted, so it must be sent again.
     };
 
+    // Precondition: the caller holds the lock.
+    bool is_unresolved(const job_id& id) const;
     // Stores the next batch of waiting jobs and sets their outcomes. Releases the lock in the meantime.
     void commit_next_batch(std::unique_lock<std::mutex>& lock);
     // Removes the jobs of the next transaction from the queue, at most one for each job id.
@@ -70,7 +78,9 @@
     static std::vector<write_outcome> outcomes_of_conflict(const std::vector<waiting_job*>& batch,
                                                            const std::vector<store_entry>& present);
     // Completes the job if its outcome is known or its deadline has passed.
-    static void apply_outcome(waiting_job& job, write_outcome outcome, absl::Time now);
+    void apply_outcome(waiting_job& job, write_outcome outcome, absl::Time now);
+    // Remembers whether the job may still be stored after this call.
+    void note_result(const waiting_job& job, absl::Time now);
 
     transactional_store& store_;
     const clock& clock_;
@@ -80,6 +90,8 @@
     std::mutex mutex_;
     std::condition_variable batch_committed_;
     std::deque<waiting_job*> queue_;
+    // Jobs of earlier calls that may still be stored, and how long they count as such.
+    std::map<job_id, absl::Time> unresolved_jobs_;
     // True while a caller runs a transaction on behalf of all waiting ones.
     bool is_committing_ = false;
 };
--- a/source/jobs/job_record_writer.cpp
+++ b/source/jobs/job_record_writer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include "jobs/job_keys.h"
+#include "telemetry/guarded_call.h"
 
 namespace masticpass {
 
@@ -30,7 +31,10 @@
     }
     std::array<tl::expected<void, fenced_writer::write_error>, partition_count> results;
     const auto write_partition = [&](std::size_t partition) {
-        results.at(partition) = partitions_[partition]->write(std::move(writes.at(partition)), {});
+        results.at(partition) = tl::unexpected(fenced_writer::write_error::unavailable);
+        call_guarded("write-records", [&] {
+            results.at(partition) = partitions_[partition]->write(std::move(writes.at(partition)), {});
+        });
     };
     std::latch pending_partitions(partition_count - 1);
     for (std::size_t partition = 1; partition < partition_count; ++partition) {
--- a/source/jobs/job_service.cpp
+++ b/source/jobs/job_service.cpp
@@ -17,7 +17,7 @@
 
 submit_result job_service::submit(const job_id& id, const accepted_job& job, absl::Time deadline) {
     if (is_store_failing()) {
-        return submit_result::refused;
+        return intake_.may_be_stored(id) ? submit_result::unknown : submit_result::refused;
     }
     const submit_result result = intake_.submit(id, job, deadline);
     record_store_availability(result == submit_result::accepted);
--- a/source/jobs/owner_election.cpp
+++ b/source/jobs/owner_election.cpp
@@ -6,6 +6,7 @@
 
 #include "jobs/job_keys.h"
 #include "jobs/job_record_writer.h"
+#include "telemetry/guarded_call.h"
 #include "telemetry/log.h"
 
 namespace masticpass {
@@ -90,32 +91,40 @@
 }
 
 void owner_election::run_election() {
-    while (true) {
-        std::unique_ptr<shard_owner> ended;
-        bool is_candidate = false;
-        {
-            const std::lock_guard<std::mutex> lock(mutex_);
-            if (is_stopping_) {
-                return;
-            }
-            const bool has_term_ended = owner_ != nullptr && !owner_->is_active();
-            is_candidate = owner_ == nullptr || has_term_ended;
-            if (has_term_ended) {
-                ended.swap(owner_);
-            }
-        }
-        if (ended) {
-            destroy_in_background(std::move(ended));
-        }
-        if (!is_candidate) {
-            hand_over_if_requested();
-        } else if (dependencies_.rules.rules() != nullptr) {
-            try_acquire();
-        }
+    while (!is_stop_requested()) {
+        // After an exception the next round starts anew. A key that this round has created ends with its
+        // lease.
+        call_guarded("election", [this] { run_election_round(); });
         wait_for_stop(check_interval + absl::Uniform(random_, 0.0, 1.0) * check_jitter);
     }
 }
 
+bool owner_election::is_stop_requested() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_stopping_;
+}
+
+void owner_election::run_election_round() {
+    std::unique_ptr<shard_owner> ended;
+    bool is_candidate = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const bool has_term_ended = owner_ != nullptr && !owner_->is_active();
+        is_candidate = owner_ == nullptr || has_term_ended;
+        if (has_term_ended) {
+            ended.swap(owner_);
+        }
+    }
+    if (ended) {
+        destroy_in_background(std::move(ended));
+    }
+    if (!is_candidate) {
+        hand_over_if_requested();
+    } else if (dependencies_.rules.rules() != nullptr) {
+        try_acquire();
+    }
+}
+
 void owner_election::destroy_in_background(std::unique_ptr<shard_owner> ended) {
     destruction_threads_.emplace_back([owner = std::move(ended)]() mutable { owner.reset(); });
 }
--- a/source/jobs/owner_election.h
+++ b/source/jobs/owner_election.h
@@ -40,6 +40,9 @@
 
 private:
     void run_election();
+    // Releases a term that has ended, hands the shard over if requested, or tries to acquire it.
+    void run_election_round();
+    bool is_stop_requested() const;
     // Waits until `stop` is called or the duration has passed.
     void wait_for_stop(absl::Duration duration);
     // Starts a term as the owner if the shard has no owner, and otherwise may request the shard from its
--- a/source/jobs/shard_inputs.cpp
+++ b/source/jobs/shard_inputs.cpp
@@ -177,7 +177,13 @@
     }
     std::vector<worker_entry> entries;
     for (const std::string& id : value->getMemberNames()) {
-        entries.push_back({.id = worker_id(id), .address = (*value)[id].asString()});
+        const Json::Value& address = (*value)[id];
+        if (address.isString()) {
+            entries.push_back({.id = worker_id(id), .address = address.asString()});
+        } else {
+            log_event(log_severity::error, "workers_record_unreadable",
+                      {{"worker", id}, {"message", "the address must be a string"}});
+        }
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     scheduler_.add_inherited_workers(entries);
--- a/source/jobs/shard_owner.cpp
+++ b/source/jobs/shard_owner.cpp
@@ -1,11 +1,13 @@
 #include "jobs/shard_owner.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
 #include "jobs/job_keys.h"
+#include "telemetry/guarded_call.h"
 #include "telemetry/log.h"
 
 namespace masticpass {
@@ -67,11 +69,27 @@
                granted.granted_at + configured.limits.time_to_live + configured.minimum_vm_order_interval,
            .order_record_retention = configured.limits.time_to_live + configured.minimum_vm_order_interval}),
       loop_work_(boost::asio::make_work_guard(loop_)),
-      loop_thread_([this] { loop_.run(); }) {
-    for (void (shard_owner::*loop)() :
-         {&shard_owner::renew_loop, &shard_owner::input_loop, &shard_owner::directory_loop,
-          &shard_owner::plan_loop, &shard_owner::commit_loop, &shard_owner::vm_control_loop}) {
-        threads_.emplace_back([this, loop] { (this->*loop)(); });
+      loop_thread_([this] { run_event_loop(); }) {
+    using loop_function = void (shard_owner::*)();
+    static constexpr std::array<std::pair<std::string_view, loop_function>, 6> loops = {
+        {{"renew-lease", &shard_owner::renew_loop},
+         {"read-inputs", &shard_owner::input_loop},
+         {"read-directory", &shard_owner::directory_loop},
+         {"plan", &shard_owner::plan_loop},
+         {"commit", &shard_owner::commit_loop},
+         {"control-vms", &shard_owner::vm_control_loop}}};
+    for (const auto& [name, loop] : loops) {
+        threads_.emplace_back([this, task = name, run = loop] {
+            if (!call_guarded(task, [this, run] { (this->*run)(); })) {
+                abandon();
+            }
+        });
+    }
+}
+
+void shard_owner::run_event_loop() {
+    while (!call_guarded("call-workers", [this] { loop_.run(); })) {
+        abandon();
     }
 }
 
--- a/source/jobs/shard_owner.h
+++ b/source/jobs/shard_owner.h
@@ -101,7 +101,10 @@
     // loaded.
     static constexpr absl::Duration retry_delay = absl::Milliseconds(100);
 
-    // The loops of the threads. They return when the term has ended.
+    // Runs the event loop. An exception in one of its handlers ends the term; the loop runs on, so that the
+    // sessions can be stopped.
+    void run_event_loop();
+    // The loops of the threads. They return when the term has ended. An exception in one of them ends it.
     void renew_loop();
     void input_loop();
     void directory_loop();
--- a/source/jobs/vm_controller.cpp
+++ b/source/jobs/vm_controller.cpp
@@ -7,6 +7,7 @@
 #include <json/json.h>
 
 #include "decision/configuration/json_object_reader.h"
+#include "telemetry/guarded_call.h"
 #include "telemetry/log.h"
 
 namespace masticpass {
@@ -193,7 +194,12 @@
     std::atomic<std::size_t> next_index = 0;
     const auto send_remaining_orders = [&] {
         for (std::size_t index = next_index++; index < orders.size(); index = next_index++) {
-            send_order(orders[index], scheduler, mutex);
+            const vm_order& order = orders[index];
+            if (!call_guarded("order-vm", [&] { send_order(order, scheduler, mutex); })) {
+                // The order may have been sent.
+                const std::lock_guard<std::mutex> lock(mutex);
+                planner_.handle_order_outcome(order, std::nullopt, scheduler);
+            }
         }
     };
     const std::size_t extra_thread_count =
--- a/tests/jobs/job_intake_test.cpp
+++ b/tests/jobs/job_intake_test.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_intake.h"
 
+#include <atomic>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -97,6 +99,40 @@
           submit_result::unknown);
 }
 
+// Guards against a caller that is told that its job is not stored after an earlier response was lost.
+TEST_CASE("a job is not refused after an earlier call with an unknown outcome") {
+    intake_fixture fixture;
+    job_service service(fixture.store, fixture.time, fixture.metrics);
+    fixture.store.delay_requests(100);
+    const absl::Time soon = fixture.time.now() + absl::Milliseconds(100);
+    CHECK(service.submit(job_id("a"), make_job("x"), soon) == submit_result::unknown);
+    CHECK(fixture.intake.submit(job_id("a"), make_job("x"), soon) == submit_result::unknown);
+    fixture.store.delay_requests(0);
+    fixture.store.set_down(true);
+    // The service does not call the store again so soon after a failure; the intake does.
+    CHECK(service.submit(job_id("a"), make_job("x"), fixture.deadline()) == submit_result::unknown);
+    CHECK(service.submit(job_id("b"), make_job("x"), fixture.deadline()) == submit_result::refused);
+    CHECK(fixture.intake.submit(job_id("a"), make_job("x"), fixture.deadline()) == submit_result::unknown);
+    CHECK(fixture.intake.submit(job_id("b"), make_job("x"), fixture.deadline()) == submit_result::refused);
+    fixture.store.set_down(false);
+    fixture.store.deliver_delayed();
+    CHECK(fixture.intake.submit(job_id("a"), make_job("x"), fixture.deadline()) == submit_result::accepted);
+    CHECK_FALSE(fixture.intake.may_be_stored(job_id("a")));
+}
+
+// Guards against callers that wait forever because the caller that stored the batch met an exception.
+TEST_CASE("an exception while a batch is stored leaves the intake usable") {
+    intake_fixture fixture;
+    std::atomic<bool> must_throw = true;
+    fixture.store.set_hook([&](std::string_view, std::string_view) {
+        if (must_throw.exchange(false)) {
+            throw std::runtime_error("injected");
+        }
+    });
+    CHECK(fixture.intake.submit(job_id("a"), make_job("x"), fixture.deadline()) == submit_result::accepted);
+    CHECK(fixture.intake.submit(job_id("b"), make_job("x"), fixture.deadline()) == submit_result::accepted);
+}
+
 // Guards against callers that wait for the store although an earlier call has found it unavailable.
 TEST_CASE("jobs are refused immediately while the store is unavailable") {
     intake_fixture fixture;
--- /dev/null
+++ b/tests/jobs/shard_owner_test.cpp
@@ -0,0 +1,161 @@
+#include "jobs/shard_owner.h"
+
+#include <atomic>
+#include <memory>
+#include <stdexcept>
+
+#include <doctest/doctest.h>
+
+#include "fakes/fake_configuration_store.h"
+#include "fakes/wait_until.h"
+#include "jobs/job_keys.h"
+#include "jobs/job_record_writer.h"
+
+namespace masticpass {
+
+namespace {
+
+class fake_directory final : public worker_directory {
+public:
+    tl::expected<std::vector<worker_entry>, std::string> list() override {
+        ++calls;
+        if (must_throw) {
+            throw std::runtime_error("injected in the directory");
+        }
+        return std::vector<worker_entry>{{.id = worker_id("w"), .address = "127.0.0.1:1"}};
+    }
+
+    std::atomic<bool> must_throw = false;
+    std::atomic<int> calls = 0;
+};
+
+class fake_channel_factory final : public worker_channel_factory {
+public:
+    std::unique_ptr<worker_channel> open(const worker_id&, const std::string&,
+                                         boost::asio::io_context&) override {
+        class channel final : public worker_channel {
+        public:
+            explicit channel(const fake_channel_factory& factory) : factory_(factory) {}
+            void poll(const poll_request&, poll_callback done) override {
+                if (factory_.must_throw) {
+                    throw std::runtime_error("injected in the event loop");
+                }
+                done(tl::unexpected(worker_error::unreachable));
+            }
+            void start(const worker_order&, std::int64_t, fencing_token_value, start_callback) override {}
+            void stop(const worker_order&, fencing_token_value, order_callback) override {}
+            void throttle(const worker_order&, fencing_token_value, order_callback) override {}
+
+        private:
+            const fake_channel_factory& factory_;
+        };
+        return std::make_unique<channel>(*this);
+    }
+
+    std::atomic<bool> must_throw = false;
+};
+
+class fake_vm_service final : public vm_service {
+public:
+    tl::expected<std::vector<fleet_vm>, std::string> list() override {
+        if (must_throw) {
+            throw std::runtime_error("injected in the VM service");
+        }
+        return std::vector<fleet_vm>{};
+    }
+    vm_order_outcome move(const vm_id&, const pool_name&, const vm_order_issuer&) override {
+        return vm_order_outcome::done;
+    }
+    vm_order_outcome maintain(const vm_id&, const wave_name&, const vm_order_issuer&) override {
+        return vm_order_outcome::done;
+    }
+
+    std::atomic<bool> must_throw = false;
+};
+
+class no_waves final : public wave_store {
+public:
+    tl::expected<std::vector<wave_request>, std::string> list() override {
+        return std::vector<wave_request>{};
+    }
+    store_write status_write(const wave_name&, bool) override { return {}; }
+};
+
+class fixed_rules final : public job_rules_source {
+public:
+    std::shared_ptr<const job_rules> rules() const override { return rules_; }
+
+private:
+    const std::shared_ptr<const job_rules> rules_ = std::make_shared<job_rules>();
+};
+
+struct owner_fixture {
+    void start() {
+        owner = std::make_unique<shard_owner>(
+            shard_owner_dependencies{store, channels, directory, vms, waves, rules, time, metrics},
+            shard_owner::options{}, acquire());
+        REQUIRE(fakes::wait_until([&] { return directory.calls > 0; }));
+        CHECK(owner->is_active());
+    }
+
+    // Creates the keys as owner_election does.
+    shard_owner::term acquire() {
+        const absl::Time granted_at = time.now();
+        fenced_writer::owner_key key{.key = job_keys::owner(0), .value = "me"};
+        key.lease = *store.grant_lease(absl::Seconds(2));
+        store_transaction creation{.writes = {{.key = key.key, .value = key.value, .lease = key.lease}}};
+        for (std::size_t partition = 0; partition < job_record_writer::partition_count; ++partition) {
+            creation.writes.push_back(
+                {.key = job_keys::owner_partition(0, partition), .value = key.value, .lease = key.lease});
+        }
+        key.create_revision = *store.transact(creation);
+        key.last_revision = key.create_revision;
+        return {.key = key, .granted_at = granted_at};
+    }
+
+    fakes::fake_configuration_store store;
+    fake_directory directory;
+    fake_channel_factory channels;
+    fake_vm_service vms;
+    no_waves waves;
+    const fixed_rules rules;
+    const boot_clock time{};
+    metrics_registry metrics;
+    std::unique_ptr<shard_owner> owner;
+};
+
+}  // namespace
+
+// Guards against an unexpected error in one thread of the owner that ends the process, or that leaves an
+// owner in office without that thread.
+TEST_CASE("an exception in a thread of the owner ends the term") {
+    owner_fixture fixture;
+    fixture.start();
+    SUBCASE("while the directory is read") {
+        fixture.directory.must_throw = true;
+    }
+    SUBCASE("while VMs are listed") {
+        fixture.vms.must_throw = true;
+    }
+    SUBCASE("in the event loop") {
+        fixture.channels.must_throw = true;
+    }
+    SUBCASE("while a store call is in progress") {
+        fixture.store.set_hook(
+            [](std::string_view, std::string_view) { throw std::runtime_error("injected in the store"); });
+    }
+    CHECK(fakes::wait_until([&] { return !fixture.owner->is_active(); }));
+    fixture.store.set_hook({});
+}
+
+// Guards against a list of known workers with one unreadable address that ends every later owner.
+TEST_CASE("an unreadable address in the list of known workers does not end the term") {
+    owner_fixture fixture;
+    fixture.store.put(job_keys::workers(0), R"({"w1":"127.0.0.1:1","w2":{"a":1},"w3":7})");
+    fixture.start();
+    const int calls = fixture.directory.calls;
+    CHECK(fakes::wait_until([&] { return fixture.directory.calls > calls + 2; }));
+    CHECK(fixture.owner->is_active());
+}
+
+}  // namespace masticpass
--- a/tests/platform/kv_worker_directory_test.cpp
+++ b/tests/platform/kv_worker_directory_test.cpp
@@ -51,6 +51,58 @@
     CHECK(entries->front().id == worker_id("b"));
 }
 
+// Guards against one odd entry of another writer that ends the process, or that keeps it from reading the
+// entries and changes beside it.
+TEST_CASE("an odd entry names no worker and hides no other entry") {
+    const auto with = [](const std::string& from, const std::string& to) {
+        std::string text = entry_with_address("10.0.0.9:1");
+        return text.replace(text.find(from), from.size(), to);
+    };
+    std::vector<std::string> odd_values = {
+        "",
+        "null",
+        "[]",
+        "\xff\xfe{",
+        std::string(100'000, '['),
+        std::string(1 << 20, 'x'),
+        R"({"service":)" + std::string(100'000, '{'),
+        with("10.0.0.9:1", "10.0.0.9:0"),
+        with("10.0.0.9:1", "10.0.0.9:65536"),
+        with("10.0.0.9:1", "10.0.0.9:99999999999999999999"),
+        with("10.0.0.9:1", "10.0.0.9:-1"),
+        with("10.0.0.9:1", "nowhere"),
+        with("\"born\":1", "\"born\":1e999"),
+        with("\"born\":1", "\"born\":99999999999999999999"),
+        with("\"born\":1", "\"born\":-5"),
+        with("\"born\":1", "\"born\":1.5"),
+        with("1000", "1e300"),
+        with("1000", "9223372036854775807"),
+        with("1000", "-1000"),
+        with("{\"cpu\":1000,\"mem_mb\":10}", std::string(5'000, '[') + std::string(5'000, ']')),
+        with("\"ready\"", "\"asleep\""),
+        with("\"ready\"", "7"),
+        with("\"p\"", "null"),
+        with("[\"a\"]", "[[\"a\"]]"),
+    };
+    worker_directory_fixture fixture;
+    fixture.store.put("servers/a", entry_with_address("10.0.0.1:1"));
+    CHECK(fixture.count() == 1);
+    for (std::size_t index = 0; index < odd_values.size(); ++index) {
+        INFO("value ", index);
+        fixture.store.put("servers/odd", odd_values[index]);
+        CHECK(fixture.count() == 1);
+        kv_worker_directory started_later(fixture.store);
+        CHECK(started_later.list().value().size() == 1);
+        // The entry of a worker is overwritten, and the worker writes it again.
+        fixture.store.put("servers/b", odd_values[index]);
+        CHECK(fixture.count() == 1);
+        fixture.store.put("servers/b", entry_with_address("10.0.0.2:1"));
+        CHECK(fixture.count() == 2);
+        fixture.store.remove("servers/b");
+    }
+    CHECK(fixture.store.calls("read_prefix") == 1 + static_cast<int>(odd_values.size()));
+}
+
 // Guards against an unreadable change that blocks all later ones.
 TEST_CASE("the directory is read in full after a failed call") {
     worker_directory_fixture fixture;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/configuration.h"
 #include "platform/http_worker_channel.h"
+#include "platform/ingress.h"
 #include "platform/job_body.h"
 #include "platform/kv_wave_store.h"
 #include "platform/kv_worker_directory.h"
@@ -105,6 +106,38 @@
     CHECK_FALSE(parse_poll_response("nothing").has_value());
 }
 
+// Guards against values from outside that end the process or overflow, such as a token that is no string.
+TEST_CASE("values of unexpected types and sizes are refused or limited") {
+    CHECK_FALSE(parse_vm_page(R"({"machines":[],"next_token":{}})").has_value());
+    CHECK_FALSE(parse_vm_page(R"({"machines":[],"next_token":[1]})").has_value());
+    const auto page = parse_vm_page(
+        R"({"machines":[{"machine":"m","pool":"p","state":"up","id":"i","capacity":{"cpu":1e300,"mem_mb":-1}}]})");
+    REQUIRE(page.has_value());
+    REQUIRE(page->vms.size() == 1);
+    CHECK(page->vms[0].capacity == resource_amount{});
+    const auto report = parse_poll_response(
+        R"({"clock_ms":5,"finished":[],"running":[["5c0e7a21d94b36f8.0.0.0",1,"",1e300,1e300],)"
+        R"(["5c0e7a21d94b36f8.0.0.1",1,"",-1e300,-5],["5c0e7a21d94b36f8.0.0.2",1,"","x",null]]})");
+    REQUIRE(report.has_value());
+    REQUIRE(report->report.running.size() == 3);
+    CHECK(report->report.running[0].progress_percent == 100);
+    CHECK(report->report.running[0].load == 1'000'000'000);
+    CHECK(report->report.running[1].progress_percent == 0);
+    CHECK(report->report.running[1].load == 0);
+    CHECK(report->report.running[2].progress_percent == 0);
+    const auto job = parse_job_body(R"({"steps":[{"count":1,"cpu":9000000000000000000}]})");
+    CHECK_FALSE(job.has_value());
+}
+
+// Guards against requests that occupy their threads for as long as a header says.
+TEST_CASE("the timeout of a caller is limited") {
+    CHECK(parse_caller_timeout("250") == absl::Milliseconds(250));
+    for (const char* const header : {"", "x", "-1", "0", "99999999999999999999"}) {
+        CHECK(parse_caller_timeout(header) == absl::Seconds(3));
+    }
+    CHECK(parse_caller_timeout("9223372036854775807") == absl::Seconds(30));
+}
+
 // Guards against a response of a restarted worker that is taken for one of its earlier incarnation.
 TEST_CASE("each response to an order names the incarnation that sent it") {
     const start_response accepted = parse_start_response(200, R"({"clock_ms":5,"born":12})");
@@ -150,6 +183,7 @@
     CHECK(page->vms[0].phase == fleet_vm_phase::in_maintenance);
     CHECK(page->vms[0].worker == worker_id("i-1"));
     CHECK_FALSE(page->next_token.has_value());
+    CHECK(page->unusable_rows == 1);
     const auto wave =
         parse_wave_request(R"({"wave":3,"machines":["m-1","m-2"],"within_s":20,"max_count":2})");
     REQUIRE(wave.has_value());
