Release the lease of a term that ended, so that an outage of the store ends with it

The owner's term had ended on its own clock at 19.8 s, but the store had paused the lease. Its key stood until 24.2 s, so no task started for 2 s after the store was back, while the queues' demand was at its peak.

Change: the process whose term has ended releases the lease as soon as the store responds, and may acquire the shard again at once. This is safe for the reason that a hand-over is: the term never becomes valid again, its writes carry the owner key, its orders to workers the fencing token, and its orders to VMs are recorded.

--- a/source/jobs/owner_election.cpp
+++ b/source/jobs/owner_election.cpp
@@ -20,6 +20,9 @@
 // owner key at the same time.
 constexpr absl::Duration check_jitter = absl::Milliseconds(200);
 
+// Interval at which a process tries to release the lease of its last term.
+constexpr absl::Duration release_retry_interval = absl::Milliseconds(150);
+
 constexpr double cpu_millis_per_core = 1000.0;
 
 // The stored record of a shard's latest term: its number and the CPU capacity of the owner's VM.
@@ -95,7 +98,8 @@
         // After an exception the next round starts anew. A key that this round has created ends with its
         // lease.
         call_guarded("election", [this] { run_election_round(); });
-        wait_for_stop(check_interval + absl::Uniform(random_, 0.0, 1.0) * check_jitter);
+        wait_for_stop(ended_lease_ ? release_retry_interval
+                                   : check_interval + absl::Uniform(random_, 0.0, 1.0) * check_jitter);
     }
 }
 
@@ -116,8 +120,12 @@
         }
     }
     if (ended) {
+        ended_lease_ = ended->lease();
         destroy_in_background(std::move(ended));
     }
+    if (ended_lease_ && !release_ended_lease()) {
+        return;
+    }
     if (!is_candidate) {
         hand_over_if_requested();
     } else if (dependencies_.rules.rules() != nullptr) {
@@ -125,6 +133,16 @@
     }
 }
 
+bool owner_election::release_ended_lease() {
+    const auto released = dependencies_.store.revoke_lease(*ended_lease_);
+    if (!released && released.error().kind != store_error_kind::not_found) {
+        return false;
+    }
+    log_event(log_severity::info, "ownership_released", {{"shard", std::to_string(options_.shard)}});
+    ended_lease_.reset();
+    return true;
+}
+
 void owner_election::destroy_in_background(std::unique_ptr<shard_owner> ended) {
     destruction_threads_.emplace_back([owner = std::move(ended)]() mutable { owner.reset(); });
 }
--- a/source/jobs/owner_election.h
+++ b/source/jobs/owner_election.h
@@ -40,7 +40,7 @@
 
 private:
     void run_election();
-    // Releases a term that has ended, hands the shard over if requested, or tries to acquire it.
+    // Destroys a term that has ended, hands the shard over if requested, or tries to acquire it.
     void run_election_round();
     bool is_stop_requested() const;
     // Waits until `stop` is called or the duration has passed.
@@ -59,6 +59,10 @@
     // transaction.
     tl::expected<shard_owner::term, store_error> create_owner_key(lease_id lease, absl::Time granted_at,
                                                                   const store_entry& last_term);
+    // Releases the lease of the last term of this process, if the store still has it: after an outage of the
+    // store, in which leases may pause, the shard would otherwise have no owner for the rest of that lease.
+    // Returns false if the store did not respond.
+    bool release_ended_lease();
     // Destroys a term that has ended, on a thread of its own, because the destructor waits for calls in
     // progress.
     void destroy_in_background(std::unique_ptr<shard_owner> ended);
@@ -72,6 +76,8 @@
     std::optional<absl::Time> owner_missing_since_;
     // Fencing token of the last owner that request_hand_over_if_larger() has evaluated.
     fencing_token_value evaluated_fencing_token_ = 0;
+    // Lease of a term that has ended but was not released. Used only by the thread.
+    std::optional<lease_id> ended_lease_;
     mutable std::mutex mutex_;
     std::condition_variable stop_requested_;
     bool is_stopping_ = false;
--- a/source/jobs/shard_owner.h
+++ b/source/jobs/shard_owner.h
@@ -75,6 +75,8 @@
     // Returns whether the term is in force. For the owner_election, which destroys this object after the term
     // has ended; the threads of this object use is_running().
     bool is_active() const { return ownership_->is_valid() && !has_ended_; }
+    // Returns the lease of the term, under which the owner's keys are stored.
+    lease_id lease() const { return term_.key.lease; }
     // Returns whether a larger VM has requested the shard.
     bool is_hand_over_requested() const { return is_hand_over_requested_; }
     // Stops sending orders, stores pending results and releases the shard, so that the next owner does not
