--- a/source/jobs/fenced_writer.cpp
+++ b/source/jobs/fenced_writer.cpp
@@ -36,18 +36,23 @@
                              .writes = {{.key = owner_.key, .value = owner_.value, .lease = owner_.lease}},
                              .removals = {removals.begin(), removals.end()}};
     change.writes.insert(change.writes.end(), writes.begin(), writes.end());
+    bool may_be_applied = false;
     for (int attempt = 0; attempt < maximum_attempts_per_transaction; ++attempt) {
-        change.expectations.front().revision = owner_.last_revision;
+        const store_revision expected_revision = owner_.last_revision;
+        change.expectations.front().revision = expected_revision;
         const auto revision = store_.transact(change);
         if (revision) {
             owner_.last_revision = *revision;
+            has_unresolved_transaction_ = false;
             return {};
         }
         const store_error& error = revision.error().error;
         metrics_.count({.name = "masticpass_store_retries_total",
                         .label = "reason",
                         .label_value = std::string(to_string(error.kind))});
+        may_be_applied = may_be_applied || error.kind == store_error_kind::unknown_outcome;
         if (error.kind == store_error_kind::unavailable) {
+            has_unresolved_transaction_ = has_unresolved_transaction_ || may_be_applied;
             return tl::unexpected(write_error::unavailable);
         }
         if (error.kind == store_error_kind::not_found) {
@@ -55,9 +60,17 @@
             return tl::unexpected(write_error::superseded);
         }
         if (const auto refreshed = refresh_owner_revision(); !refreshed) {
+            has_unresolved_transaction_ = has_unresolved_transaction_ || may_be_applied;
             return refreshed;
         }
+        // Only this writer writes the owner key, so a later revision shows that one of the attempts has taken
+        // effect, unless it may be that of an earlier transaction.
+        const bool is_changed = owner_.last_revision != expected_revision;
+        if (is_changed && may_be_applied && !has_unresolved_transaction_) {
+            return {};
+        }
     }
+    has_unresolved_transaction_ = has_unresolved_transaction_ || may_be_applied;
     return tl::unexpected(write_error::unavailable);
 }
 
--- a/source/jobs/fenced_writer.h
+++ b/source/jobs/fenced_writer.h
@@ -53,7 +53,8 @@
 private:
     // Reads the last revision of the owner key after a transaction with an unknown outcome or a conflict.
     tl::expected<void, write_error> refresh_owner_revision() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    // Applies the changes in one transaction, which is repeated after a conflict or an unknown outcome.
+    // Applies the changes in one transaction. After a conflict or an unknown outcome it is repeated, unless
+    // the owner key shows that it has taken effect.
     tl::expected<void, write_error> transact(std::span<store_write> writes, std::span<std::string> removals)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
@@ -61,6 +62,9 @@
     metrics_registry& metrics_;
     absl::Mutex mutex_;
     owner_key owner_ ABSL_GUARDED_BY(mutex_);
+    // A transaction that was given up may still take effect. Cleared when a later one has taken effect, since
+    // that changes the revision that the earlier one expects.
+    bool has_unresolved_transaction_ ABSL_GUARDED_BY(mutex_) = false;
     std::atomic<bool> is_superseded_ = false;
 };
 
--- a/tests/jobs/fenced_writer_test.cpp
+++ b/tests/jobs/fenced_writer_test.cpp
@@ -65,6 +65,37 @@
     CHECK(fixture.store.value("a") == "2");
 }
 
+// Load pattern: half of the responses of the store are lost while queues are at their peak. Guards against
+// records that are written several times over, each time with another chance to lose the response.
+TEST_CASE("a transaction that has taken effect is not repeated after its response was lost") {
+    writer_fixture fixture;
+    fenced_writer writer(fixture.store, fixture.owner, fixture.metrics);
+    fixture.store.lose_responses(1);
+    CHECK(writer.write({{.key = "a", .value = "1"}}, {}).has_value());
+    CHECK(fixture.store.calls("transact") == 1);
+    CHECK(fixture.store.value("a") == "1");
+}
+
+// Guards against a write that counts as stored because an earlier one, which was given up, has taken effect.
+TEST_CASE("a delayed transaction is not mistaken for a later one") {
+    writer_fixture fixture;
+    fenced_writer writer(fixture.store, fixture.owner, fixture.metrics);
+    fixture.store.delay_requests(3);
+    CHECK_FALSE(writer.write({{.key = "a", .value = "1"}}, {}).has_value());
+    fixture.store.lose_requests(1);
+    bool is_delivered = false;
+    fixture.store.set_hook([&](std::string_view method, std::string_view) {
+        // Before the writer reads the owner key after the lost request.
+        if (method == "read" && !is_delivered) {
+            is_delivered = true;
+            fixture.store.deliver_delayed();
+        }
+    });
+    CHECK(writer.write({{.key = "a", .value = "2"}}, {}).has_value());
+    CHECK(is_delivered);
+    CHECK(fixture.store.value("a") == "2");
+}
+
 TEST_CASE("changes above the limit of one transaction are split into several") {
     writer_fixture fixture;
     fenced_writer writer(fixture.store, fixture.owner, fixture.metrics);
