--- a/tests/jobs/owner_election_test.cpp
+++ b/tests/jobs/owner_election_test.cpp
@@ -24,7 +24,7 @@
     fake_channel_factory channels;
     fake_vm_service vms;
     no_waves waves;
-    const fixed_rules rules;
+    const fixed_rules rules{};
     const boot_clock time{};
     metrics_registry metrics;
 };
--- a/tests/jobs/shard_owner_test.cpp
+++ b/tests/jobs/shard_owner_test.cpp
@@ -45,7 +45,7 @@
     fake_channel_factory channels;
     fake_vm_service vms;
     no_waves waves;
-    const fixed_rules rules;
+    const fixed_rules rules{};
     const boot_clock time{};
     metrics_registry metrics;
     std::unique_ptr<shard_owner> owner;
--- a/tests/jobs/worker_session_test.cpp
+++ b/tests/jobs/worker_session_test.cpp
@@ -35,7 +35,7 @@
     void poll(const poll_request& request, poll_callback done) override {
         ++script_.polls;
         script_.acknowledged = request.last_acknowledged_run_end;
-        respond_later(request, std::move(done));
+        respond_later(request, done);
     }
     void start(const worker_order&, std::int64_t, fencing_token_value, start_callback done) override {
         ++script_.starts;
@@ -51,7 +51,7 @@
     }
 
 private:
-    void respond_later(const poll_request& request, poll_callback done) {
+    void respond_later(const poll_request& request, const poll_callback& done) {
         timer_.expires_after(std::chrono::milliseconds(2));
         timer_.async_wait([this, request, done](const boost::system::error_code& error) {
             if (error) {
