Send an order that waited only if it is still wanted, and stop orders first

A start that was planned at 20.98 s was sent at about 25.2 s, 4 s after its job was cancelled.

Change: immediately before an order is sent, the scheduler says whether it is still wanted: a start unless its run was given up, an eviction only if the step's limit still permits it. Stop orders overtake waiting starts and throttles.

Tests: "an order that waited is sent only if it is still wanted", "a start that is no longer wanted is not sent", "a stop order overtakes waiting starts".

--- a/source/decision/jobs/job_scheduler.cpp
+++ b/source/decision/jobs/job_scheduler.cpp
@@ -242,6 +242,24 @@
     return found == worker->runs.end() || found->second.run != order.run ? nullptr : &found->second;
 }
 
+bool job_scheduler::is_wanted(const worker_order& order) {
+    const placed_run* const run = find_run(order);
+    if (run == nullptr) {
+        return false;
+    }
+    switch (order.kind) {
+        case worker_order::order_kind::start:
+            return run->phase == run_phase::starting;
+        case worker_order::order_kind::throttle:
+            return run->phase == run_phase::running;
+        case worker_order::order_kind::stop:
+            break;
+    }
+    tracked_job* const job = find(order.task.job);
+    const bool is_eviction = run->is_evicted && task_of(job, order.task) != nullptr;
+    return !is_eviction || may_evict(*job, order.task);
+}
+
 void job_scheduler::handle_start_outcome(const worker_order& order, start_outcome outcome, absl::Time now,
                                          std::int64_t started_ms) {
     worker_state* const worker = find_worker(order.worker);
@@ -334,6 +352,17 @@
     }
 }
 
+bool job_scheduler::may_evict(tracked_job& job, const task_name& task) {
+    const job_step& step = job.step_of(task);
+    int unavailable = 0;
+    for (int index = 0; index < step.task_count; ++index) {
+        const tracked_task* const other = job.find_task(
+            {.job = task.job, .occurrence = task.occurrence, .step = task.step, .index = index});
+        unavailable += index != task.index && !other->is_ready ? 1 : 0;
+    }
+    return unavailable < step.maximum_unavailable.value_or(default_maximum_unavailable);
+}
+
 bool job_scheduler::evict_long_running_tasks(const worker_id& id, absl::Time now) {
     worker_state* const worker = find_worker(id);
     if (worker == nullptr) {
@@ -345,26 +374,19 @@
         if (run.phase != run_phase::running || task_of(job, task) == nullptr) {
             continue;
         }
-        const job_step& step = job->step_of(task);
-        if (!step.is_long_running) {
+        if (!job->step_of(task).is_long_running) {
             continue;
         }
-        int unavailable = 0;
-        for (int index = 0; index < step.task_count; ++index) {
-            const tracked_task* const other = job->find_task(
-                {.job = task.job, .occurrence = task.occurrence, .step = task.step, .index = index});
-            unavailable += index != task.index && !other->is_ready ? 1 : 0;
-        }
-        if (unavailable >= step.maximum_unavailable.value_or(default_maximum_unavailable)) {
+        if (!may_evict(*job, task)) {
             continue;
         }
         job->find_task(task)->is_ready = false;
+        run.is_evicted = true;
         run.phase = run_phase::stopping;
         run.responded_at = absl::InfiniteFuture();
         run.phase_since = now;
         evicted = true;
-        log("run_evicted", task.job,
-            {{"task", to_string(task)}, {"worker", id.value()}, {"away", std::to_string(unavailable)}});
+        log("run_evicted", task.job, {{"task", to_string(task)}, {"worker", id.value()}});
     }
     return evicted;
 }
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -159,6 +159,10 @@
     // Since this owner started, every worker has reported, its leases have expired or it has terminated.
     bool is_every_worker_accounted_for() const;
 
+    // Returns whether an order that was planned earlier is still to be sent. Load pattern: many jobs are
+    // cancelled, or tasks of a step become unavailable, while orders wait behind others that workers leave
+    // unanswered.
+    bool is_wanted(const worker_order& order);
     // Process the outcome of an order. `started_ms` is the start of the worker's incarnation that responded;
     // 0 if there was no response or it names none. A response of an incarnation before the known one changes
     // nothing. A response of a later one shows that the worker has restarted.
@@ -228,6 +232,8 @@
     void release_all_runs(worker_state& worker, std::string_view reason, absl::Time now);
     void return_to_waiting(const task_name& task, run_number run, absl::Time now);
     void stop_other_runs(const task_name& task);
+    // Returns whether the long-running task may become unavailable without exceeding the limit of its step.
+    static bool may_evict(tracked_job& job, const task_name& task);
     void stop_runs_of(const tracked_job& job);
     void process_job_change(tracked_job& job);
 
--- a/source/decision/jobs/worker_state.h
+++ b/source/decision/jobs/worker_state.h
@@ -44,6 +44,8 @@
     // A stop order is in progress or the worker has confirmed it. False again after a stop order that was not
     // confirmed.
     bool is_stop_sent = false;
+    // The run is stopped only so that its task starts elsewhere.
+    bool is_evicted = false;
     absl::Time next_stop_at = absl::InfinitePast();
     // Start of the worker's incarnation that has shown to have the run; 0 until a response shows one.
     std::int64_t worker_started_ms = 0;
--- a/source/jobs/shard_listener.cpp
+++ b/source/jobs/shard_listener.cpp
@@ -48,6 +48,11 @@
     plan_needed_.notify_one();
 }
 
+bool shard_owner::is_wanted(const worker_order& order) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return scheduler_.is_wanted(order);
+}
+
 void shard_owner::on_start(const worker_order& order, start_outcome outcome, std::int64_t started_ms) {
     count("masticpass_starts_total", "outcome", to_string(outcome));
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/source/jobs/shard_owner.h
+++ b/source/jobs/shard_owner.h
@@ -89,6 +89,7 @@
     void on_report(const worker_id& worker, const worker_report& report, absl::Time sent_at) override;
     void on_unreachable(const worker_id& worker, worker_error error) override;
     void on_lease_expired(const worker_id& worker) override;
+    bool is_wanted(const worker_order& order) override;
     void on_start(const worker_order& order, start_outcome outcome, std::int64_t started_ms) override;
     void on_stop(const worker_order& order, bool is_confirmed, std::int64_t started_ms) override;
     void on_throttle(const worker_order& order, bool is_confirmed, std::int64_t started_ms) override;
--- a/source/jobs/worker_session.cpp
+++ b/source/jobs/worker_session.cpp
@@ -1,5 +1,6 @@
 #include "jobs/worker_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -44,7 +45,13 @@
 }
 
 void worker_session::send(worker_order order) {
-    orders_.push_back(std::move(order));
+    auto position = orders_.end();
+    if (order.kind == worker_order::order_kind::stop) {
+        position = std::find_if(
+            orders_.begin() + (is_order_in_progress_ ? 1 : 0), orders_.end(),
+            [](const worker_order& waiting) { return waiting.kind != worker_order::order_kind::stop; });
+    }
+    orders_.insert(position, std::move(order));
     send_next_order();
 }
 
@@ -162,7 +169,7 @@
         }
         finish_order();
     };
-    if (!owner_->is_valid()) {
+    if (!owner_->is_valid() || !listener_.is_wanted(order)) {
         done({.result = tl::unexpected(worker_error::unreachable)});
     } else if (is_stop) {
         channel_->stop(order, owner_->fencing_token(), done);
@@ -174,7 +181,7 @@
 void worker_session::send_start_order(const worker_order& order) {
     const std::optional<std::int64_t> lease_until_ms =
         owner_->is_valid() ? extend_run_leases(clock_.now()) : std::nullopt;
-    if (!lease_until_ms || !owner_->is_valid()) {
+    if (!lease_until_ms || !listener_.is_wanted(order) || !owner_->is_valid()) {
         listener_.on_start(order, start_outcome::not_sent, 0);
         finish_order();
         return;
--- a/source/jobs/worker_session.h
+++ b/source/jobs/worker_session.h
@@ -31,6 +31,9 @@
     virtual void on_unreachable(const worker_id& worker, worker_error error) = 0;
     // A poll has failed, and every run lease on the worker has expired. Called once until a poll succeeds.
     virtual void on_lease_expired(const worker_id& worker) = 0;
+    // Returns whether the order is still to be sent. Called immediately before, since an order may wait for
+    // seconds behind others that the worker leaves unanswered.
+    virtual bool is_wanted(const worker_order& order) = 0;
     // In the following methods, `started_ms` is the start of the worker's incarnation that responded; 0 if
     // there was no response or it names none.
     virtual void on_start(const worker_order& order, start_outcome outcome, std::int64_t started_ms) = 0;
@@ -72,7 +75,7 @@
     worker_session& operator=(const worker_session&) = delete;
     ~worker_session() = default;
 
-    // Sends the order after all earlier orders have completed.
+    // Sends the order after all earlier orders have completed, or a stop order after all earlier stop orders.
     void send(worker_order order);
     // Stops polling, drops the waiting orders and abandons the calls in progress. The listener may still be
     // called until the event loop has executed the request.
--- a/tests/decision/jobs/job_scheduler_test.cpp
+++ b/tests/decision/jobs/job_scheduler_test.cpp
@@ -520,6 +520,46 @@
     }
 }
 
+// Load pattern: jobs are cancelled, and VMs fail, while orders wait behind others that workers leave
+// unanswered. Guards against starts of cancelled jobs, and against evictions that have become one too many
+// for their step.
+TEST_CASE("an order that waited is sent only if it is still wanted") {
+    job_fixture fixture(3);
+    SUBCASE("a start of a job that was cancelled") {
+        fixture.add("j", {job_fixture::make_step(1)});
+        const auto starts = fixture.plan(order_kind::start);
+        REQUIRE(starts.size() == 1);
+        CHECK(fixture.scheduler.is_wanted(starts[0]));
+        fixture.scheduler.cancel_job(job_id("j"));
+        CHECK_FALSE(fixture.scheduler.is_wanted(starts[0]));
+        const auto stops = fixture.plan(order_kind::stop);
+        REQUIRE(stops.size() == 1);
+        fixture.scheduler.handle_start_outcome(starts[0], start_outcome::not_sent, fixture.now);
+        CHECK_FALSE(fixture.scheduler.is_wanted(stops[0]));
+        CHECK(fixture.scheduler.workers().at(starts[0].worker).runs.empty());
+    }
+    SUBCASE("an eviction while another task of the step has become unavailable") {
+        job_step step = job_fixture::make_step(3, 3000);
+        step.is_long_running = true;
+        fixture.add("j", {step});
+        const auto starts = fixture.start_all();
+        REQUIRE(starts.size() == 3);
+        for (const worker_order& start : starts) {
+            fixture.report(start.worker.value(),
+                           {.running = {{.task = start.task, .run = start.run, .progress_percent = 100}}});
+        }
+        CHECK(fixture.scheduler.evict_long_running_tasks(starts[0].worker, fixture.now));
+        const auto stops = fixture.plan(order_kind::stop);
+        REQUIRE(stops.size() == 1);
+        CHECK(fixture.scheduler.is_wanted(stops[0]));
+        fixture.scheduler.handle_terminated(starts[1].worker, fixture.now);
+        CHECK_FALSE(fixture.scheduler.is_wanted(stops[0]));
+        fixture.scheduler.handle_stop_response(stops[0], false, fixture.now);
+        fixture.now += absl::Seconds(1);
+        CHECK(fixture.plan(order_kind::stop).size() == 1);
+    }
+}
+
 // Guards against running work that is started again elsewhere because another writer changed the directory
 // entry of its worker.
 TEST_CASE("a directory entry ends no run, whatever it contains") {
--- a/tests/jobs/worker_session_test.cpp
+++ b/tests/jobs/worker_session_test.cpp
@@ -20,6 +20,7 @@
         std::atomic<bool> is_responding = true;
         std::atomic<int> polls = 0;
         std::atomic<int> starts = 0;
+        std::atomic<int> starts_before_stop = 0;
         std::atomic<int> lease_extensions_while_unreachable = 0;
         std::atomic<bool> is_superseded = false;
         std::atomic<bool> holds_polls = false;
@@ -44,6 +45,7 @@
         });
     }
     void stop(const worker_order&, fencing_token_value, order_callback done) override {
+        script_.starts_before_stop = script_.starts.load();
         boost::asio::post(loop_, [done] { done({}); });
     }
     void throttle(const worker_order&, fencing_token_value, order_callback done) override {
@@ -88,6 +90,9 @@
     void on_report(const worker_id&, const worker_report&, absl::Time) override { ++reports; }
     void on_unreachable(const worker_id&, worker_error) override { ++unreachable_reports; }
     void on_lease_expired(const worker_id&) override { ++expired_leases; }
+    bool is_wanted(const worker_order& order) override {
+        return order.kind == worker_order::order_kind::stop || wants_starts;
+    }
     void on_start(const worker_order&, start_outcome outcome, std::int64_t) override {
         not_sent += outcome == start_outcome::not_sent ? 1 : 0;
         accepted += outcome == start_outcome::accepted ? 1 : 0;
@@ -98,6 +103,7 @@
     std::int64_t last_stored_run_end(const worker_id&) override { return 57; }
     absl::Duration delay_after_run_ends() override { return absl::Milliseconds(5); }
 
+    std::atomic<bool> wants_starts = true;
     std::atomic<int> reports = 0;
     std::atomic<int> unreachable_reports = 0;
     std::atomic<int> expired_leases = 0;
@@ -196,6 +202,34 @@
     REQUIRE(fakes::wait_until([&] { return fixture.listener.accepted == 2; }));
 }
 
+// Load pattern: jobs are cancelled while their starts wait behind orders that the worker leaves unanswered.
+// Guards against starts that are sent seconds after the cancellation.
+TEST_CASE("a start that is no longer wanted is not sent") {
+    session_fixture fixture;
+    const auto session = fixture.open();
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.reports > 0; }));
+    fixture.listener.wants_starts = false;
+    fixture.send(session);
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.not_sent == 1; }));
+    CHECK(fixture.script.starts == 0);
+}
+
+// Guards against runs that go on for seconds because the orders that stop them wait behind starts.
+TEST_CASE("a stop order overtakes waiting starts") {
+    session_fixture fixture;
+    const auto session = fixture.open();
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.reports > 0; }));
+    boost::asio::post(fixture.loop, [session] {
+        for (int start = 0; start < 3; ++start) {
+            session->send({.worker = worker_id("w")});
+        }
+        session->send({.kind = worker_order::order_kind::stop, .worker = worker_id("w")});
+    });
+    REQUIRE(fakes::wait_until([&] { return fixture.listener.accepted == 3; }));
+    // The first start was in progress.
+    CHECK(fixture.script.starts_before_stop == 1);
+}
+
 // Guards against orders of an owner whose term has ended.
 TEST_CASE("no order is sent after the term has ended") {
     session_fixture fixture;
