--- a/review/standin/many_ends_takeover.cc
+++ b/review/standin/many_ends_takeover.cc
@@ -1,4 +1,5 @@
-// A job with many small tasks on one worker, and one kill of the entry VM that leads while they are at work.
+// A job with many small tasks on one worker, which end at the same time, and one kill of the entry VM that leads
+// shortly before.
 #include "world.hpp"
 
 using namespace review;
@@ -15,18 +16,22 @@
         return cannot_run(fleet, "the entry VMs are not ready");
     }
     sleep_ms(2000);
-    const job_plan job{.id = "7b1d0c5529ae4410", .steps = {{.count = tasks, .cpu = 10, .mem_mb = 20, .duration_ms = 5000}}};
+    const job_plan job{.id = "7b1d0c5529ae4410", .steps = {{.count = tasks, .cpu = 10, .mem_mb = 20, .duration_ms = 30000}}};
     if (!fleet.submit(job, "/puxa400/")) {
         return cannot_run(fleet, "the job was not accepted");
     }
     const std::int64_t submitted = now_ms();
-    while (fleet.pool.starts_of(job.id) < tasks && now_ms() < submitted + 10000) {
+    while (fleet.pool.starts_of(job.id) < tasks && now_ms() < submitted + 20000) {
         sleep_ms(5);
     }
+    if (fleet.pool.running_tasks(job.id) != tasks) {
+        return cannot_run(fleet, "not all tasks are at work");
+    }
+    fleet.pool.end_together(job.id, now_ms() + 1000);
     if (has_trouble()) {
         fleet.kill_entry(fleet.leader());
     }
-    const std::int64_t end = now_ms() + 25000;
+    const std::int64_t end = now_ms() + 45000;
     while (now_ms() < end) {
         sleep_ms(100);
     }
--- a/review/standin/timed_takeover.cc
+++ b/review/standin/timed_takeover.cc
@@ -21,7 +21,7 @@
     jobs.push_back({.id = "5c0e7a21d94b36f8", .steps = {{.count = 4, .cpu = 1800, .mem_mb = 1024, .duration_ms = 5000}}});
     for (int index = 0; index < short_jobs; ++index) {
         jobs.push_back({.id = format("77aa00c4e1b2%04x", 0x1d00 + index * 19),
-                        .steps = {{.count = 1, .cpu = 1000, .mem_mb = 512, .duration_ms = 550 + 25 * index}}});
+                        .steps = {{.count = 1, .cpu = 1000, .mem_mb = 512, .duration_ms = 800 + 25 * index}}});
     }
     constexpr int occurrences = 3;
     constexpr std::int64_t interval_ms = 8000;
@@ -51,7 +51,7 @@
     if (running() != tasks) {
         return cannot_run(fleet, "the first occurrences are not at work");
     }
-    sleep_ms(500);
+    sleep_ms(750);
     if (has_trouble()) {
         if (getenv("KILL") != nullptr) {
             fleet.kill_entry(fleet.leader());
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -162,6 +163,9 @@
 class store {
 public:
     static constexpr std::int64_t answer_ms = 4;
+    static constexpr std::size_t value_bytes = 1048576;
+    // The store may discard its history sooner than `history_s`.
+    static constexpr std::int64_t history_ms = 5000;
 
     void put(const std::string& key, const std::string& value) {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -172,10 +176,14 @@
     std::string text(const std::string& key) {
         const std::lock_guard<std::mutex> lock(mutex_);
         const auto found = items_.find(key);
-        return found == items_.end() ? std::string() : found->second.value;
+        return found == items_.end() ? std::string() : *found->second.value;
     }
     void expire_leases() {
         const std::lock_guard<std::mutex> lock(mutex_);
+        while (!events_.empty() && events_.begin()->second.front().at_ms < now_ms() - history_ms) {
+            discarded_upto_ = events_.begin()->first;
+            events_.erase(events_.begin());
+        }
         std::vector<std::int64_t> ended;
         for (const auto& [id, lease] : leases_) {
             if (lease.ends_ms < now_ms()) {
@@ -186,6 +194,19 @@
             end_lease(id);
         }
     }
+    // Number of transactions that were refused because a value was larger than `value_bytes`.
+    std::int64_t refused_values() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return refused_values_;
+    }
+    std::size_t largest_value() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        std::size_t largest = 0;
+        for (const auto& [key, entry] : items_) {
+            largest = std::max(largest, entry.value->size() / 4 * 3);
+        }
+        return largest;
+    }
     // The entry VM that last renewed a lease.
     int last_renewer() {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -230,13 +251,17 @@
             const std::int64_t after = std::stoll(request.get_param_value("after"));
             const auto wait = std::chrono::milliseconds(std::stoll(request.get_param_value("wait_ms")));
             std::unique_lock<std::mutex> lock(mutex_);
+            if (after < discarded_upto_) {
+                respond(response, 410, Json::Value(Json::objectValue));
+                return;
+            }
             Json::Value body;
             changed_.wait_for(lock, wait, [&] {
                 body["events"] = Json::Value(Json::arrayValue);
-                for (auto event = events_.upper_bound(after); event != events_.end(); ++event) {
-                    for (const Json::Value& row : event->second) {
-                        if (row["key"].asString().compare(0, prefix.size(), prefix) == 0) {
-                            body["events"].append(row);
+                for (auto changes = events_.upper_bound(after); changes != events_.end(); ++changes) {
+                    for (const event& change : changes->second) {
+                        if (change.key.compare(0, prefix.size(), prefix) == 0) {
+                            body["events"].append(to_json(change, changes->first));
                         }
                     }
                 }
@@ -283,11 +308,17 @@
 
 private:
     struct item {
-        std::string value;
+        std::shared_ptr<const std::string> value;
         std::int64_t revision = 0;
         std::int64_t created = 0;
         std::int64_t lease = 0;
     };
+    // A change of a key; without an item it is the removal of the key.
+    struct event {
+        std::string key;
+        std::optional<item> written;
+        std::int64_t at_ms = 0;
+    };
     struct lease_state {
         std::int64_t ttl_ms = 0;
         std::int64_t ends_ms = 0;
@@ -296,29 +327,34 @@
     static Json::Value to_json(const std::string& key, const item& entry) {
         Json::Value row;
         row["key"] = key;
-        row["value"] = entry.value;
+        row["value"] = *entry.value;
         row["revision"] = Json::Int64(entry.revision);
         row["created"] = Json::Int64(entry.created);
         row["lease"] = Json::Int64(entry.lease);
         return row;
     }
+    static Json::Value to_json(const event& change, std::int64_t revision) {
+        if (change.written) {
+            return to_json(change.key, *change.written);
+        }
+        Json::Value row;
+        row["key"] = change.key;
+        row["revision"] = Json::Int64(revision);
+        row["deleted"] = true;
+        return row;
+    }
     void write_item(const std::string& key, const std::string& value, std::int64_t lease) {
         item& entry = items_[key];
         entry.created = entry.created == 0 ? revision_ : entry.created;
-        entry.value = value;
+        entry.value = std::make_shared<const std::string>(value);
         entry.revision = revision_;
         entry.lease = lease;
-        events_[revision_].push_back(to_json(key, entry));
+        events_[revision_].push_back({key, entry, now_ms()});
     }
     void remove_item(const std::string& key) {
-        if (items_.erase(key) == 0) {
-            return;
+        if (items_.erase(key) > 0) {
+            events_[revision_].push_back({key, std::nullopt, now_ms()});
         }
-        Json::Value row;
-        row["key"] = key;
-        row["revision"] = Json::Int64(revision_);
-        row["deleted"] = true;
-        events_[revision_].push_back(row);
     }
     void end_lease(std::int64_t id) {
         leases_.erase(id);
@@ -349,6 +385,13 @@
             respond(response, 412, conflict);
             return;
         }
+        for (const Json::Value& row : body["writes"]) {
+            if (row["value"].asString().size() / 4 * 3 > value_bytes) {
+                ++refused_values_;
+                respond(response, 413, Json::Value(Json::objectValue));
+                return;
+            }
+        }
         for (const Json::Value& row : body["writes"]) {
             if (row["lease"].asInt64() != 0 && !leases_.contains(row["lease"].asInt64())) {
                 respond(response, 404, Json::Value(Json::objectValue));
@@ -374,7 +417,9 @@
     std::int64_t last_lease_ = 0;
     int last_renewer_ = -1;
     std::map<std::string, item> items_;
-    std::map<std::int64_t, std::vector<Json::Value>> events_;
+    std::map<std::int64_t, std::vector<event>> events_;
+    std::int64_t discarded_upto_ = 0;
+    std::int64_t refused_values_ = 0;
     std::map<std::int64_t, lease_state> leases_;
 };
 
@@ -529,6 +574,12 @@
         jobs_[job.id] = job;
     }
 
+    // All tasks of the job that run are done at this time, whatever their duration is.
+    void end_together(const std::string& job, std::int64_t at_ms) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        ends_at_ms_[job] = at_ms;
+    }
+
     void heartbeat() {
         for (auto& next : workers_) {
             std::string entry;
@@ -609,7 +660,11 @@
                     continue;
                 }
                 const step_plan& step = step_of(name);
-                if (run.work_before_ms + now - run.works_since_ms >= step.duration_ms) {
+                const auto common_end = ends_at_ms_.find(parse_task(name).job);
+                const bool is_due = common_end != ends_at_ms_.end()
+                                        ? now >= common_end->second && run.started_ms < common_end->second
+                                        : run.work_before_ms + now - run.works_since_ms >= step.duration_ms;
+                if (is_due) {
                     due.push_back(name);
                 }
             }
@@ -1002,6 +1057,7 @@
     std::vector<std::unique_ptr<worker>> workers_;
     std::map<std::string, job_plan> jobs_;
     std::map<std::string, int> starts_;
+    std::map<std::string, std::int64_t> ends_at_ms_;
     std::map<std::string, std::vector<std::shared_ptr<end_row>>> done_;
     std::map<std::string, std::vector<std::pair<std::shared_ptr<end_row>, std::string>>> started_after_done_;
     std::vector<std::string> overlaps_;
@@ -1086,6 +1142,8 @@
         : record(record_path), pool(record, platform, "proofs", worker_count) {
         ::signal(SIGTERM, end_children);
         ::signal(SIGINT, end_children);
+        ::signal(SIGSEGV, end_children);
+        ::signal(SIGABRT, end_children);
         ::signal(SIGPIPE, SIG_IGN);
         char name[] = "/tmp/masticpass-review-XXXXXX";
         folder_ = ::mkdtemp(name);
