--- a/review/standin/dropped_route.cc
+++ b/review/standin/dropped_route.cc
@@ -1,6 +1,6 @@
 // A configuration removes the route of a queue while an accepted job of the queue runs; then the entry VM that
 // leads is killed once.
-#include "world.hpp"
+#include "deployment.hpp"
 
 using namespace review;
 
--- a/review/standin/gang_checkpoint.cc
+++ b/review/standin/gang_checkpoint.cc
@@ -1,5 +1,5 @@
 // A gang that saves checkpoints, and one crash of a worker that has a member of it.
-#include "world.hpp"
+#include "deployment.hpp"
 
 using namespace review;
 
--- a/review/standin/many_ends_takeover.cc
+++ b/review/standin/many_ends_takeover.cc
@@ -1,6 +1,6 @@
 // Many jobs of small tasks on one worker, which end at the same time, and one kill of the entry VM that leads shortly
 // before.
-#include "world.hpp"
+#include "deployment.hpp"
 
 using namespace review;
 
--- a/review/standin/many_occurrences.cc
+++ b/review/standin/many_occurrences.cc
@@ -1,5 +1,5 @@
 // A job with many occurrences, and ordinary jobs. TROUBLE=0 leaves out the former.
-#include "world.hpp"
+#include "deployment.hpp"
 
 using namespace review;
 
--- a/review/standin/timed_takeover.cc
+++ b/review/standin/timed_takeover.cc
@@ -1,6 +1,6 @@
 // Jobs that run on a schedule, and one planned restart of the entry VM that leads while occurrences are at work.
 // With KILL set, the process is killed instead.
-#include "world.hpp"
+#include "deployment.hpp"
 
 using namespace review;
 
