Remove members of tracked tasks that nothing reads

tracked_task::phase_since and last_worker were written in four places and read in none, and return_to_waiting() took a time only for one of them.

--- a/source/decision/jobs/job_placement.cpp
+++ b/source/decision/jobs/job_placement.cpp
@@ -386,8 +386,6 @@
     tracked_task* const task = job.find_task(name);
     task->phase = task_phase::placed;
     task->last_run_number = run;
-    task->last_worker = worker.entry.id;
-    task->phase_since = now;
     task->is_ready = false;
     add_run(worker, name,
             {.run = run,
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -80,10 +80,10 @@
          {"worker", worker.entry.id.value()},
          {"worker_started_ms", std::to_string(worker.started_ms)},
          {"reason", std::string(reason)}});
-    return_to_waiting(task, run, now);
+    return_to_waiting(task, run);
 }
 
-void job_scheduler::return_to_waiting(const task_name& task, run_number run, absl::Time now) {
+void job_scheduler::return_to_waiting(const task_name& task, run_number run) {
     tracked_job* const job = find(task.job);
     tracked_task* const state = job == nullptr || job->is_final() ? nullptr : job->find_task(task);
     if (state == nullptr || state->phase != task_phase::placed || state->last_run_number != run) {
@@ -92,7 +92,6 @@
     state->phase = task_phase::waiting;
     waiting_jobs_.insert(task.job);
     state->is_ready = false;
-    state->phase_since = now;
 }
 
 bool job_scheduler::handle_report(const worker_id& id, const worker_report& report, absl::Time sent_at,
@@ -137,8 +136,6 @@
             adopted.phase = run_phase::running;
             adopted.last_progress_at = now;
             task->phase = task_phase::placed;
-            task->phase_since = now;
-            task->last_worker = worker.entry.id;
             task->last_run_number = run.run;
             if (job->record_started()) {
                 changed_jobs_.insert(job->id());
@@ -235,7 +232,7 @@
         return;
     }
     task->last_run_number = std::max(task->last_run_number, end.run);
-    return_to_waiting(end.task, end.run, now);
+    return_to_waiting(end.task, end.run);
 }
 
 bool job_scheduler::release_absent_runs(worker_state& worker, const worker_report& report, absl::Time sent_at,
--- a/source/decision/jobs/job_scheduler.cpp
+++ b/source/decision/jobs/job_scheduler.cpp
@@ -311,7 +311,7 @@
         return;
     }
     remove_run(*worker, order.task);
-    return_to_waiting(order.task, order.run, now);
+    return_to_waiting(order.task, order.run);
 }
 
 void job_scheduler::handle_stop_response(const worker_order& order, bool is_confirmed, absl::Time now,
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -230,7 +230,7 @@
     void release_lost_run(worker_state& worker, const task_name& task, std::string_view reason,
                           absl::Time now);
     void release_all_runs(worker_state& worker, std::string_view reason, absl::Time now);
-    void return_to_waiting(const task_name& task, run_number run, absl::Time now);
+    void return_to_waiting(const task_name& task, run_number run);
     void stop_other_runs(const task_name& task);
     // Returns whether the long-running task may become unavailable without exceeding the limit of its step.
     static bool may_evict(tracked_job& job, const task_name& task);
--- a/source/decision/jobs/tracked_job.cpp
+++ b/source/decision/jobs/tracked_job.cpp
@@ -30,10 +30,8 @@
     opened.number = number;
     opened.due = due;
     for (const job_step& step : specification_.steps) {
-        tracked_task task;
-        task.phase_since = due;
         opened.steps.push_back(
-            {.tasks = std::vector<tracked_task>(static_cast<std::size_t>(step.task_count), task)});
+            {.tasks = std::vector<tracked_task>(static_cast<std::size_t>(step.task_count))});
     }
     return opened;
 }
--- a/source/decision/jobs/tracked_job.h
+++ b/source/decision/jobs/tracked_job.h
@@ -15,7 +15,7 @@
 
 enum class task_phase {
     waiting,  // No run exists or may exist; the task may start when its step is ready.
-    placed,   // A run was planned on `last_worker` and may exist until the worker reports its end.
+    placed,   // A run was planned on a worker and may exist until the worker reports its end.
     done,
 };
 
@@ -23,14 +23,10 @@
     task_phase phase = task_phase::waiting;
     // Highest run number used so far.
     run_number last_run_number = 0;
-    // Worker on which the last run was placed.
-    worker_id last_worker = {};
     // Failed runs. Each run counts once, however often its failure is reported.
     std::set<run_number> failed_runs = {};
     worker_id last_failed_worker = {};
     std::string checkpoint = {};
-    // Start of the current phase.
-    absl::Time phase_since = {};
     // A long-running task is ready once its worker reports a progress of 100 percent.
     bool is_ready = false;
 };
