Log run ends that change nothing and reports that list only some of them

Two guesses fit a task of a scheduled job that runs twice around a change of owner: the earlier owner acknowledged an end that it had not stored, or the later one acknowledged an end that it did not use. No line told them apart, since an end of a task that the owner does not know was dropped silently. It is logged now as run_end_ignored, a result that arrives when a later run was placed already as run_end_late, and a report that is not complete as report_incomplete.

--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -183,6 +183,17 @@
     }
     tracked_job* const job = find(end.task.job);
     tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_task(end.task);
+    const bool is_missing = job == nullptr || (!job->is_final() && task == nullptr);
+    const bool is_superseded =
+        task != nullptr && end.outcome == run_outcome::done && end.run < task->last_run_number;
+    if (is_missing || is_superseded) {
+        log(is_missing ? "run_end_ignored" : "run_end_late", end.task.job,
+            {{"task", to_string(end.task)},
+             {"run", std::to_string(end.run)},
+             {"worker", worker.entry.id.value()},
+             {"how", std::string(to_string(end.outcome))},
+             {"last_run", task == nullptr ? "none" : std::to_string(task->last_run_number)}});
+    }
     if (task == nullptr || task->phase == task_phase::done) {
         return;
     }
--- a/source/jobs/shard_listener.cpp
+++ b/source/jobs/shard_listener.cpp
@@ -19,6 +19,13 @@
             commit_needed_.notify_one();
         }
     }
+    if (report.is_partial) {
+        log_event(
+            log_severity::info, "report_incomplete",
+            {{"worker", worker.value()},
+             {"first_end", std::to_string(report.ended.empty() ? 0 : report.ended.front().sequence_number)},
+             {"ended", std::to_string(report.ended.size())}});
+    }
     if (!report.ended.empty()) {
         dependencies_.metrics.count({.name = "masticpass_run_ends_total"}, report.ended.size());
     }
