Keep the runs and results of scheduled jobs that a new owner finds before its first plan

Cause: only the plan created the occurrences of a scheduled job, and reports of workers arrive before a new owner's first plan. A task of an occurrence that was not created yet looked like one that does not exist: its run was stopped, its result dropped, and the result was acknowledged after the next commit.

Change: a reported run or end shows that an owner found the occurrence due, so it creates the occurrence (tracked_job::find_started_task), as does a stored record. Its due time stays unknown until the owner's own clock reaches it, and only then do its other tasks start. Both orders of report and plan lead to the same state, also with a clock that is behind that of the earlier owner. Occurrences may be created out of order.

Tests: owner_takeover_test.

--- a/source/decision/jobs/job_placement.cpp
+++ b/source/decision/jobs/job_placement.cpp
@@ -229,6 +229,9 @@
 bool job_scheduler::place_job(const candidate& next, absl::Time now) {
     bool is_waiting = false;
     for (tracked_occurrence& occurrence : next.job->occurrences()) {
+        if (!occurrence.is_due(now)) {
+            continue;
+        }
         for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
             if (!occurrence.steps[static_cast<std::size_t>(step)].is_done() &&
                 next.job->is_step_ready(occurrence, step)) {
@@ -294,7 +297,7 @@
              {"placed", std::to_string(placed)},
              {"without_room", std::to_string(unplaced)},
              {"waited_ms", std::to_string(absl::ToInt64Milliseconds(
-                               now - std::max(occurrence.due, job.job_origin().accepted_at)))},
+                               now - std::max(*occurrence.due, job.job_origin().accepted_at)))},
              {"prospect", std::string(timeliness_name(next.timeliness))}});
     }
     pool_load& load = loads_[next.rules->pool];
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -123,7 +123,7 @@
 void job_scheduler::handle_listed_run(worker_state& worker, const listed_run& run, absl::Time sent_at,
                                       absl::Time now) {
     tracked_job* const job = find(run.task.job);
-    tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_task(run.task);
+    tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_started_task(run.task);
     auto known = worker.runs.find(run.task);
     if (known == worker.runs.end()) {
         placed_run adopted{
@@ -182,7 +182,7 @@
         remove_run(worker, end.task);
     }
     tracked_job* const job = find(end.task.job);
-    tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_task(end.task);
+    tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_started_task(end.task);
     const bool is_missing = job == nullptr || (!job->is_final() && task == nullptr);
     const bool is_superseded =
         task != nullptr && end.outcome == run_outcome::done && end.run < task->last_run_number;
--- a/source/decision/jobs/tracked_job.cpp
+++ b/source/decision/jobs/tracked_job.cpp
@@ -9,6 +9,10 @@
 
 constexpr double millis_per_core = 1000.0;
 
+bool precedes(const tracked_occurrence& occurrence, int number) {
+    return occurrence.number < number;
+}
+
 }  // namespace
 
 bool tracked_occurrence::is_done() const {
@@ -21,14 +25,22 @@
       origin_(std::move(job_origin)),
       critical_path_(critical_path_of(nullptr)) {
     if (!specification_.is_timed()) {
-        create_occurrence(0, origin_.accepted_at);
+        find_or_create_occurrence(0).due = origin_.accepted_at;
     }
 }
 
-tracked_occurrence& tracked_job::create_occurrence(int number, absl::Time due) {
-    tracked_occurrence& opened = occurrences_.emplace_back();
+tracked_occurrence* tracked_job::find_occurrence(int number) {
+    const auto found = std::lower_bound(occurrences_.begin(), occurrences_.end(), number, precedes);
+    return found == occurrences_.end() || found->number != number ? nullptr : &*found;
+}
+
+tracked_occurrence& tracked_job::find_or_create_occurrence(int number) {
+    const auto next = std::lower_bound(occurrences_.begin(), occurrences_.end(), number, precedes);
+    if (next != occurrences_.end() && next->number == number) {
+        return *next;
+    }
+    tracked_occurrence& opened = *occurrences_.emplace(next);
     opened.number = number;
-    opened.due = due;
     for (const job_step& step : specification_.steps) {
         opened.steps.push_back(
             {.tasks = std::vector<tracked_task>(static_cast<std::size_t>(step.task_count))});
@@ -40,29 +52,36 @@
     if (!specification_.is_timed() || is_final()) {
         return;
     }
-    int next = occurrences_.empty() ? 0 : occurrences_.back().number + 1;
-    for (; next < specification_.occurrences; ++next) {
-        const absl::Time due = first_due + next * specification_.interval;
+    for (; next_due_occurrence_ < specification_.occurrences; ++next_due_occurrence_) {
+        const absl::Time due = first_due + next_due_occurrence_ * specification_.interval;
         if (due > now) {
             return;
         }
-        create_occurrence(next, due);
+        find_or_create_occurrence(next_due_occurrence_).due = due;
     }
 }
 
+bool tracked_job::has_task(const task_name& task) const {
+    return task.occurrence >= 0 && task.occurrence < specification_.occurrence_count() && task.step >= 0 &&
+           task.step < static_cast<int>(specification_.steps.size()) && task.index >= 0 &&
+           task.index < step_of(task).task_count;
+}
+
 tracked_task* tracked_job::find_task(const task_name& task) {
-    const auto occurrence =
-        std::find_if(occurrences_.begin(), occurrences_.end(),
-                     [&](const tracked_occurrence& open) { return open.number == task.occurrence; });
-    if (occurrence == occurrences_.end() || task.step < 0 ||
-        task.step >= static_cast<int>(occurrence->steps.size())) {
+    tracked_occurrence* const occurrence = has_task(task) ? find_occurrence(task.occurrence) : nullptr;
+    if (occurrence == nullptr) {
         return nullptr;
     }
-    auto& tasks = occurrence->steps[static_cast<std::size_t>(task.step)].tasks;
-    if (task.index < 0 || task.index >= static_cast<int>(tasks.size())) {
+    return &occurrence->steps[static_cast<std::size_t>(task.step)]
+                .tasks[static_cast<std::size_t>(task.index)];
+}
+
+tracked_task* tracked_job::find_started_task(const task_name& task) {
+    if (!has_task(task)) {
         return nullptr;
     }
-    return &tasks[static_cast<std::size_t>(task.index)];
+    find_or_create_occurrence(task.occurrence);
+    return find_task(task);
 }
 
 bool tracked_job::is_step_ready(const tracked_occurrence& occurrence, int step) const {
@@ -81,20 +100,18 @@
         return;
     }
     for (const auto& progress : record.steps) {
-        // Occurrences are created in order, so restoring a later one also creates those before it.
-        while (specification_.is_timed() && progress.occurrence < specification_.occurrences &&
-               static_cast<int>(occurrences_.size()) <= progress.occurrence) {
-            create_occurrence(static_cast<int>(occurrences_.size()), origin_.accepted_at);
-        }
+        const task_name step{.job = id_, .occurrence = progress.occurrence, .step = progress.step};
         for (const int index : progress.done) {
-            record_completed(
-                {.job = id_, .occurrence = progress.occurrence, .step = progress.step, .index = index});
+            task_name task = step;
+            task.index = index;
+            if (find_started_task(task) != nullptr) {
+                record_completed(task);
+            }
         }
         for (const auto& failure : progress.failures) {
-            if (tracked_task* task = find_task({.job = id_,
-                                                .occurrence = progress.occurrence,
-                                                .step = progress.step,
-                                                .index = failure.index})) {
+            task_name failed = step;
+            failed.index = failure.index;
+            if (tracked_task* const task = find_started_task(failed)) {
                 task->failed_runs.insert(failure.run);
                 task->last_run_number = std::max(task->last_run_number, failure.run);
             }
@@ -153,10 +170,7 @@
         return false;
     }
     found->phase = task_phase::done;
-    const auto occurrence =
-        std::find_if(occurrences_.begin(), occurrences_.end(),
-                     [&](const tracked_occurrence& open) { return open.number == task.occurrence; });
-    ++occurrence->steps[static_cast<std::size_t>(task.step)].done_count;
+    ++find_occurrence(task.occurrence)->steps[static_cast<std::size_t>(task.step)].done_count;
     if (is_complete()) {
         phase_ = job_phase::completed;
     }
--- a/source/decision/jobs/tracked_job.h
+++ b/source/decision/jobs/tracked_job.h
@@ -2,6 +2,7 @@
 #define MASTICPASS_DECISION_JOBS_TRACKED_JOB_H
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -40,10 +41,12 @@
 
 struct tracked_occurrence {
     int number = 0;
-    // On the owner's monotonic clock.
-    absl::Time due = {};
+    // On the owner's monotonic clock. Unknown until this owner finds the occurrence due; an earlier owner may
+    // have started tasks of it before that.
+    std::optional<absl::Time> due = {};
     std::vector<tracked_step> steps = {};
 
+    bool is_due(absl::Time now) const { return due && *due <= now; }
     bool is_done() const;
 };
 
@@ -101,9 +104,10 @@
     void restore(const job_record& record);
     job_record record() const;
 
-    // Creates the occurrences that are due at `now`. `first_due` is the due time of the first one on the
-    // monotonic clock.
+    // Creates the occurrences that are due at `now`, unless they exist, and sets their due times. `first_due`
+    // is the due time of the first one on the monotonic clock.
     void create_due_occurrences(absl::Time first_due, absl::Time now);
+    // Sorted by number. They include those whose tasks an earlier owner has started, due or not.
     std::span<tracked_occurrence> occurrences() { return occurrences_; }
     // Workers on which an earlier owner may have placed runs.
     std::span<const worker_id> inherited_workers() const { return inherited_workers_; }
@@ -112,6 +116,9 @@
 
     // Null if the job has no such task or its occurrence has not been created.
     tracked_task* find_task(const task_name& task);
+    // Returns the task of a run that a worker reports; null if the job has no such task. A run shows that an
+    // owner found the occurrence due, so the occurrence is created unless it exists.
+    tracked_task* find_started_task(const task_name& task);
     run_number next_run_number(const tracked_task& task) const {
         return std::max(task.last_run_number + 1, origin_.first_run_number);
     }
@@ -139,7 +146,10 @@
     double remaining_core_seconds() const;
 
 private:
-    tracked_occurrence& create_occurrence(int number, absl::Time due);
+    bool has_task(const task_name& task) const;
+    // Null if it has not been created.
+    tracked_occurrence* find_occurrence(int number);
+    tracked_occurrence& find_or_create_occurrence(int number);
     bool is_complete() const;
     // The critical path of the steps that are not done in the occurrence; of all steps if it is null.
     absl::Duration critical_path_of(const tracked_occurrence* occurrence) const;
@@ -150,6 +160,8 @@
     job_phase phase_ = job_phase::queued;
     absl::Time ended_at_ = absl::InfiniteFuture();
     std::vector<tracked_occurrence> occurrences_;
+    // The first occurrence that this owner has not found due.
+    int next_due_occurrence_ = 0;
     std::vector<worker_id> inherited_workers_;
     bool is_restored_ = false;
     absl::Duration critical_path_;
--- a/tests/decision/jobs/job_simulation.cpp
+++ b/tests/decision/jobs/job_simulation.cpp
@@ -12,6 +12,8 @@
 constexpr absl::Duration poll_interval = absl::Milliseconds(80);
 constexpr absl::Duration renewal_interval = absl::Milliseconds(500);
 constexpr std::int64_t worker_cpu_millis = 4000;
+// By how much the wall clock of an owner may be wrong.
+constexpr int maximum_clock_error_ms = 700;
 // The sender of an order closes its connection after this time, and the order is lost if it is still in
 // transit.
 constexpr absl::Duration order_timeout = absl::Milliseconds(700);
@@ -105,6 +107,11 @@
         }
         job.job.specification.steps.push_back(step);
     }
+    if (chance(250)) {
+        job.job.specification.occurrences = 1 + static_cast<int>(random_() % 3);
+        job.job.specification.first_due = now_ + random_duration(0, 2000);
+        job.job.specification.interval = random_duration(200, 3000);
+    }
     jobs_.emplace(id, std::move(job));
 }
 
@@ -211,7 +218,9 @@
     }
     owner_record_ = ++last_fencing_token_;
     owner_record_expires_at_ = now_ + limits_.time_to_live;
-    owners_.push_back(std::make_unique<simulated_owner>(limits_, owner_record_, now_, term_++));
+    owners_.push_back(
+        std::make_unique<simulated_owner>(limits_, owner_record_, now_, term_++,
+                                          random_duration(-maximum_clock_error_ms, maximum_clock_error_ms)));
     simulated_owner& owner = *owners_.back();
     const queue_rules queue{.name = queue_name("q"), .pool = pool_name("p"), .max_attempts = max_attempts};
     owner.scheduler.set_rules({&queue, 1}, {});
@@ -279,7 +288,7 @@
     if (!owner.scheduler.is_recovered() && (is_due || owner.scheduler.is_every_worker_accounted_for())) {
         owner.scheduler.finish_recovery(now_);
     }
-    send_orders(owner, owner.scheduler.plan(now_, absl::ZeroDuration()));
+    send_orders(owner, owner.scheduler.plan(now_, owner.wall_clock_error));
     owner.scheduler.take_events();
     store_batch(owner);
 }
@@ -449,14 +458,19 @@
     if (acknowledged_completions_.contains(order.task)) {
         report_violation(name + " starts after its completion was acknowledged");
     }
-    const job_step& step =
-        jobs_.at(order.task.job).job.specification.steps[static_cast<std::size_t>(order.task.step)];
+    const job_specification& job = jobs_.at(order.task.job).job.specification;
+    if (job.is_timed() && now_ + absl::Milliseconds(maximum_clock_error_ms) <
+                              job.first_due + order.task.occurrence * job.interval) {
+        report_violation(name + " starts before its time");
+    }
+    const job_step& step = job.steps[static_cast<std::size_t>(order.task.step)];
     for (const int earlier : step.predecessors) {
-        const int count =
-            jobs_.at(order.task.job).job.specification.steps[static_cast<std::size_t>(earlier)].task_count;
+        const int count = job.steps[static_cast<std::size_t>(earlier)].task_count;
         for (int index = 0; index < count; ++index) {
-            if (!stored_completions_.contains(
-                    {.job = order.task.job, .occurrence = 0, .step = earlier, .index = index})) {
+            if (!stored_completions_.contains({.job = order.task.job,
+                                               .occurrence = order.task.occurrence,
+                                               .step = earlier,
+                                               .index = index})) {
                 report_violation(name + " starts before the end of a step that it depends on");
             }
         }
@@ -481,18 +495,15 @@
                 report_violation("the record of " + update.job.value() + " changes after the job ended");
             }
             job.record = *record;
-            const auto mark = [&](int step, int index) {
-                stored_completions_.insert(
-                    {.job = update.job, .occurrence = 0, .step = step, .index = index});
-            };
             for (const auto& progress : record->steps) {
+                task_name task{.job = update.job, .occurrence = progress.occurrence, .step = progress.step};
                 for (const int index : progress.done) {
-                    mark(progress.step, index);
+                    task.index = index;
+                    stored_completions_.insert(task);
                 }
                 for (const auto& failure : progress.failures) {
-                    failed_runs_
-                        [{.job = update.job, .occurrence = 0, .step = progress.step, .index = failure.index}]
-                            .insert(failure.run);
+                    task.index = failure.index;
+                    failed_runs_[task].insert(failure.run);
                 }
             }
         }
--- a/tests/decision/jobs/job_simulation.h
+++ b/tests/decision/jobs/job_simulation.h
@@ -18,10 +18,10 @@
 // Simulates workers, a store and shard owners in one process with virtual time. The owners run the production
 // decision code. The simulation delivers, loses and delays their messages, crashes workers and owners,
 // restarts workers under the same id, pauses owners, and checks the invariants: at most one run of a task
-// exists, no task starts before the steps that it depends on or after its completion was stored or
-// acknowledged, no task exceeds its maximum number of attempts, no record changes after its job ended, and in
-// the end every job has ended. Simulated workers refuse starts that exceed their capacity. Thread safety:
-// none.
+// exists, no task starts before its time, before the steps that it depends on or after its completion was
+// stored or acknowledged, no task exceeds its maximum number of attempts, no record changes after its job
+// ended, and in the end every job has ended. Simulated workers refuse starts that exceed their capacity.
+// Thread safety: none.
 class job_simulation {
 public:
     struct options {
@@ -97,14 +97,17 @@
     };
     struct simulated_owner {
         simulated_owner(const ownership_limits& limits, fencing_token_value token, absl::Time now,
-                        std::int64_t term)
+                        std::int64_t term, absl::Duration clock_error)
             : fencing_token(token),
               granted_at(now),
+              wall_clock_error(clock_error),
               lease(limits, now),
               scheduler({.first_inherited_run_number = term * 64 + 1}) {}
 
         fencing_token_value fencing_token;
         absl::Time granted_at;
+        // By how much the owner's wall clock is ahead.
+        absl::Duration wall_clock_error;
         owner_lease lease;
         job_scheduler scheduler;
         std::map<worker_id, worker_connection> connections = {};
--- /dev/null
+++ b/tests/decision/jobs/owner_takeover_test.cpp
@@ -0,0 +1,147 @@
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "decision/jobs/job_fixture.h"
+
+// What a new owner concludes from the reports of workers on which an earlier owner has placed runs.
+namespace masticpass {
+
+namespace {
+
+constexpr absl::Duration interval = absl::Seconds(10);
+
+// A new owner that has loaded one scheduled job, whose first occurrence an earlier owner placed on worker w1,
+// and has made no plan yet.
+struct takeover_fixture {
+    explicit takeover_fixture(int task_count) {
+        const queue_rules queue{.name = queue_name("q"), .pool = pool_name("p"), .max_attempts = 2};
+        scheduler.set_rules({&queue, 1}, {});
+        const std::vector<worker_entry> entries = {job_fixture::make_worker("w1"),
+                                                   job_fixture::make_worker("w2")};
+        static_cast<void>(scheduler.set_workers(entries, now));
+        const job_record record{.phase = job_phase::running, .is_timed = true, .workers = {worker_id("w1")}};
+        scheduler.add_job(job_id("j"),
+                          {.queue = queue_name("q"),
+                           .accepted_at = now,
+                           .specification = {.steps = {job_fixture::make_step(task_count)},
+                                             .occurrences = occurrences,
+                                             .first_due = first_due,
+                                             .interval = interval}},
+                          {.accepted_at = now, .is_inherited = true}, &record);
+    }
+
+    void report(const std::string& worker, worker_report contents) {
+        contents.started_ms = 1;
+        now += absl::Milliseconds(1);
+        scheduler.handle_report(worker_id(worker), contents, now, now);
+    }
+
+    // Returns the orders of one plan, whose records are stored.
+    std::vector<worker_order> plan() {
+        std::vector<worker_order> orders = scheduler.plan(now, wall_clock_offset);
+        for (worker_order& start : scheduler.confirm_batch(scheduler.take_batch(now), true)) {
+            orders.push_back(std::move(start));
+        }
+        return orders;
+    }
+
+    static task_name task(int index, int occurrence = 0) {
+        return {.job = job_id("j"), .occurrence = occurrence, .step = 0, .index = index};
+    }
+
+    static constexpr int occurrences = 3;
+    absl::Time now = absl::UnixEpoch() + absl::Seconds(100);
+    absl::Time first_due = now - absl::Seconds(1);
+    absl::Duration wall_clock_offset = absl::ZeroDuration();
+    job_scheduler scheduler{{.first_inherited_run_number = 65}};
+};
+
+}  // namespace
+
+// Guards against tasks of scheduled jobs that run twice after a change of owner: their runs were stopped, and
+// their results acknowledged and forgotten, since the new owner had not yet created the occurrence.
+TEST_CASE("a new owner keeps the runs and results of a scheduled job that come before its first plan") {
+    takeover_fixture fixture(2);
+    fixture.report("w1", {.running = {{.task = takeover_fixture::task(0), .run = 1}},
+                          .ended = {{.sequence_number = 1,
+                                     .task = takeover_fixture::task(1),
+                                     .run = 1,
+                                     .outcome = run_outcome::done}}});
+    fixture.report("w2", {});
+    fixture.scheduler.finish_recovery(fixture.now);
+    CHECK(fixture.plan().empty());
+    CHECK(fixture.scheduler.workers().at(worker_id("w1")).last_stored_end == 1);
+    fixture.report("w1", {.ended = {{.sequence_number = 2,
+                                     .task = takeover_fixture::task(0),
+                                     .run = 1,
+                                     .outcome = run_outcome::done}}});
+    CHECK(fixture.plan().empty());
+    const record_batch nothing_changed = fixture.scheduler.take_batch(fixture.now);
+    CHECK(nothing_changed.updates.empty());
+    fixture.now += interval;
+    CHECK(fixture.plan().size() == 2);
+}
+
+// Guards against the same fault where the new owner's wall clock is behind that of the earlier owner, and
+// against starts before the due time of an occurrence that only the reports of workers have shown.
+TEST_CASE("a run of an occurrence that is not due on the new owner's clock is kept") {
+    takeover_fixture fixture(2);
+    fixture.wall_clock_offset = -absl::Seconds(2);
+    fixture.report("w1", {.running = {{.task = takeover_fixture::task(0), .run = 1}}});
+    fixture.report("w2", {});
+    fixture.scheduler.finish_recovery(fixture.now);
+    CHECK(fixture.plan().empty());
+    CHECK(fixture.scheduler.workers().at(worker_id("w1")).runs.at(takeover_fixture::task(0)).phase ==
+          run_phase::running);
+    fixture.now += absl::Seconds(2);
+    const auto starts = fixture.plan();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task == takeover_fixture::task(1));
+}
+
+// Guards against an occurrence that a later one hides: a job that counts as complete without it, or never
+// starts it.
+TEST_CASE("the occurrences before one that a worker reports still start") {
+    takeover_fixture fixture(1);
+    fixture.report("w1", {.ended = {{.sequence_number = 1,
+                                     .task = takeover_fixture::task(0, 2),
+                                     .run = 1,
+                                     .outcome = run_outcome::done}}});
+    fixture.report("w2", {});
+    fixture.scheduler.finish_recovery(fixture.now);
+    auto starts = fixture.plan();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task == takeover_fixture::task(0, 0));
+    fixture.now += 3 * interval;
+    starts = fixture.plan();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task == takeover_fixture::task(0, 1));
+    CHECK(fixture.scheduler.find_job(job_id("j"))->phase() == job_phase::running);
+}
+
+// Guards against runs of tasks that a job doesn't have, and against a number that creates occurrences without
+// end.
+TEST_CASE("a reported run of a task that the job does not have is stopped") {
+    takeover_fixture fixture(1);
+    task_name unknown = takeover_fixture::task(0, takeover_fixture::occurrences);
+    SUBCASE("of an occurrence after the last one") {}
+    SUBCASE("of a negative occurrence") {
+        unknown = takeover_fixture::task(0, -1);
+    }
+    SUBCASE("of a step that does not exist") {
+        unknown.occurrence = 0;
+        unknown.step = 1;
+    }
+    SUBCASE("of an index that does not exist") {
+        unknown = takeover_fixture::task(1);
+    }
+    fixture.report("w1", {.running = {{.task = unknown, .run = 1}}});
+    const auto orders = fixture.plan();
+    REQUIRE(orders.size() >= 1);
+    CHECK(orders[0].kind == worker_order::order_kind::stop);
+    CHECK(orders[0].task == unknown);
+}
+
+}  // namespace masticpass
