Know a worker only when it has listed everything that an earlier owner left on it

Cause: a worker lists at most 500 run ends in one response. Any report, also a partial one, made the worker "synced", so the new owner took it for accounted for, ended its recovery and placed the tasks whose ends were still to be listed. Only the release of absent runs asked whether the report was partial.

Evidence: three guesses fit (a partial report, a recovery that ended by time, a record without the worker).

Change: worker_state::coverage replaces is_synced, and report_coverage replaces is_partial: nothing known yet, unlisted ends, unreadable runs, complete. Recovery, inherited tasks and the stored list of workers ask for "complete"; a new task needs one report, as before, since all that runs is listed. The time limit of the recovery does not apply to a worker with unlisted ends: it responds, so its leases go on. A VM with unlisted ends is not idle. This works because each commit acknowledges what was listed, so a worker lists 500 more with the next poll.

Neighbours: a run that cannot be read makes a worker partly known too, until the leases of earlier owners have expired. A restart resets the coverage.

Tests: owner_takeover_test, wire_test, and job_simulation_test, whose workers list two ends at a time and which checks that no result is acknowledged after a later start.

The bound is now what both steps may take with all attempts, 110 s; the run still ends as soon as all jobs have ended.

--- a/source/decision/jobs/fleet_planner.cpp
+++ b/source/decision/jobs/fleet_planner.cpp
@@ -358,7 +358,7 @@
         const worker_state* const worker = worker_of(scheduler, vm.worker);
         count += order != orders_.end() ? (order->second.order.target_pool == pool ? 1 : 0)
                                         : (vm.pool == pool && vm.phase != fleet_vm_phase::down &&
-                                                   (worker == nullptr || !worker->is_synced)
+                                                   (worker == nullptr || !worker->has_reported())
                                                ? 1
                                                : 0);
     }
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -28,7 +28,7 @@
     // The termination that the list of VMs showed was of an earlier incarnation.
     worker.is_terminated = false;
     worker.known_since = now;
-    worker.is_synced = false;
+    worker.coverage.reset();
     worker.is_reachable = false;
     worker.last_processed_end = 0;
     worker.last_stored_end = 0;
@@ -100,9 +100,10 @@
     if (worker == nullptr || worker->is_terminated || !admit_response(*worker, report.started_ms, now)) {
         return false;
     }
-    const bool was_usable = worker->is_reachable && worker->is_synced;
+    const bool was_reachable = worker->is_reachable;
+    const auto earlier_coverage = worker->coverage;
     worker->is_reachable = true;
-    worker->is_synced = true;
+    worker->add_coverage(report.coverage);
     worker->is_lease_expired = false;
     for (const listed_end& end : report.ended) {
         if (end.sequence_number > worker->last_processed_end) {
@@ -117,7 +118,7 @@
     if (!worker->runs.empty()) {
         worker->idle_since = now;
     }
-    return !was_usable || was_any_absent || !report.ended.empty();
+    return !was_reachable || worker->coverage != earlier_coverage || was_any_absent || !report.ended.empty();
 }
 
 void job_scheduler::handle_listed_run(worker_state& worker, const listed_run& run, absl::Time sent_at,
@@ -248,7 +249,7 @@
 
 bool job_scheduler::release_absent_runs(worker_state& worker, const worker_report& report, absl::Time sent_at,
                                         absl::Time now) {
-    if (report.is_partial) {
+    if (report.coverage != report_coverage::complete) {
         return false;
     }
     std::vector<std::pair<task_name, std::string_view>> absent;
--- a/source/decision/jobs/job_scheduler.cpp
+++ b/source/decision/jobs/job_scheduler.cpp
@@ -228,9 +228,11 @@
     is_recovered_ = true;
 }
 
-bool job_scheduler::is_every_worker_accounted_for() const {
-    return std::all_of(workers_.begin(), workers_.end(),
-                       [](const auto& entry) { return entry.second.is_accounted_for(); });
+bool job_scheduler::can_finish_recovery(bool have_earlier_leases_expired) const {
+    return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        const worker_state& worker = entry.second;
+        return worker.is_accounted_for() || (have_earlier_leases_expired && !worker.has_unlisted_ends());
+    });
 }
 
 placed_run* job_scheduler::find_run(const worker_order& order) {
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -156,8 +156,10 @@
     // may start.
     void finish_recovery(absl::Time now);
     bool is_recovered() const { return is_recovered_; }
-    // Since this owner started, every worker has reported, its leases have expired or it has terminated.
-    bool is_every_worker_accounted_for() const;
+    // Returns whether no run of an earlier owner, and no outcome of one, can still be unknown: since this
+    // owner started, each worker has listed all of them, its leases have expired or it has terminated. If
+    // `have_earlier_leases_expired`, a worker that has not reported has none.
+    bool can_finish_recovery(bool have_earlier_leases_expired) const;
 
     // Returns whether an order that was planned earlier is still to be sent. Load pattern: many jobs are
     // cancelled, or tasks of a step become unavailable, while orders wait behind others that workers leave
--- a/source/decision/jobs/job_types.h
+++ b/source/decision/jobs/job_types.h
@@ -162,14 +162,20 @@
     std::string checkpoint = {};
 };
 
+// How much of what exists on a worker its report lists.
+enum class report_coverage {
+    unlisted_ends,    // More runs have ended. The worker lists them once the listed ends are acknowledged.
+    unreadable_runs,  // A run could not be read, so a run that is not listed may go on.
+    complete,
+};
+
 // A worker's response to a poll.
 struct worker_report {
     // Start of the worker's current incarnation; 0 if the worker does not report it.
     std::int64_t started_ms = 0;
     std::vector<listed_run> running = {};
     std::vector<listed_end> ended = {};
-    // The worker may have more runs or run ends than the report lists, so a run that is not listed may go on.
-    bool is_partial = false;
+    report_coverage coverage = report_coverage::complete;
 };
 
 // Configuration of a queue.
--- a/source/decision/jobs/worker_state.h
+++ b/source/decision/jobs/worker_state.h
@@ -2,6 +2,7 @@
 #define MASTICPASS_DECISION_JOBS_WORKER_STATE_H
 
 #include <map>
+#include <optional>
 
 #include <absl/time/time.h>
 
@@ -66,9 +67,11 @@
     bool is_listed = true;
     // The worker responded to the last poll.
     bool is_reachable = false;
-    // The worker has received this owner's fencing token, and this owner has received the worker's list of
-    // runs.
-    bool is_synced = false;
+    // How much of what earlier owners left on the worker its reports to this owner have listed; nullopt
+    // before the first report, with which the worker has received this owner's fencing token. What this owner
+    // places is known without a report, so a worker that has been covered completely stays so until it
+    // restarts.
+    std::optional<report_coverage> coverage = {};
     // The VM is about to be moved or maintained, so the worker gets no new tasks.
     bool is_cordoned = false;
     // The worker stayed unreachable until the last run lease that any owner may have granted had ended.
@@ -92,15 +95,31 @@
 
     resource_amount free_capacity() const { return entry.capacity - reserved; }
     bool accepts_tasks(absl::Time now) const {
-        return is_listed && !is_terminated && !entry.is_draining && is_reachable && is_synced &&
+        return is_listed && !is_terminated && !entry.is_draining && is_reachable && has_reported() &&
                !is_cordoned && health.accepts_tasks(now);
     }
-    // Returns whether every run that an earlier owner may have placed on the worker is known or has ended.
-    bool is_accounted_for() const { return is_synced || is_lease_expired || is_terminated; }
-    // Returns whether no run exists on the worker, according to its report or because every run lease has
-    // ended.
+    bool has_reported() const { return coverage.has_value(); }
+    // Returns whether runs have ended on the worker whose outcome it has yet to list. This ends with a later
+    // report, or with the run leases that this owner has granted if the worker becomes unreachable.
+    bool has_unlisted_ends() const {
+        return coverage == report_coverage::unlisted_ends && !is_lease_expired && !is_terminated;
+    }
+    // Returns whether every run that an earlier owner may have placed on the worker is known or has ended,
+    // and the worker has no outcome to list.
+    bool is_accounted_for() const {
+        return coverage == report_coverage::complete || is_lease_expired || is_terminated;
+    }
+    // Returns whether no run exists on the worker, and no outcome that it has yet to list, according to its
+    // report or because every run lease has ended.
     bool is_known_to_be_idle() const {
-        return runs.empty() && ((is_synced && is_reachable) || is_lease_expired || is_terminated);
+        const bool is_reported_idle = has_reported() && is_reachable && !has_unlisted_ends();
+        return runs.empty() && (is_reported_idle || is_lease_expired || is_terminated);
+    }
+    // Notes how much a report covered.
+    void add_coverage(report_coverage reported) {
+        if (coverage != report_coverage::complete) {
+            coverage = reported;
+        }
     }
     int run_count_of_step(const task_name& task) const;
 
--- a/source/jobs/shard_listener.cpp
+++ b/source/jobs/shard_listener.cpp
@@ -7,30 +7,59 @@
 
 namespace masticpass {
 
+namespace {
+
+std::string_view to_string(report_coverage coverage) {
+    switch (coverage) {
+        case report_coverage::unlisted_ends:
+            return "unlisted-ends";
+        case report_coverage::unreadable_runs:
+            return "unreadable-runs";
+        case report_coverage::complete:
+            return "complete";
+    }
+    return "complete";
+}
+
+}  // namespace
+
 void shard_owner::on_report(const worker_id& worker, const worker_report& report, absl::Time sent_at) {
     {
         const std::lock_guard<std::mutex> lock(mutex_);
+        const std::optional<report_coverage> earlier_coverage = coverage_of(worker);
         if (scheduler_.handle_report(worker, report, sent_at, dependencies_.time.now())) {
             must_plan_ = true;
             plan_needed_.notify_one();
         }
+        log_coverage_change(worker, earlier_coverage);
         if (!report.ended.empty()) {
             must_commit_ = true;
             commit_needed_.notify_one();
         }
     }
-    if (report.is_partial) {
-        log_event(
-            log_severity::info, "report_incomplete",
-            {{"worker", worker.value()},
-             {"first_end", std::to_string(report.ended.empty() ? 0 : report.ended.front().sequence_number)},
-             {"ended", std::to_string(report.ended.size())}});
-    }
     if (!report.ended.empty()) {
         dependencies_.metrics.count({.name = "masticpass_run_ends_total"}, report.ended.size());
     }
 }
 
+std::optional<report_coverage> shard_owner::coverage_of(const worker_id& worker) const {
+    const auto known = scheduler_.workers().find(worker);
+    return known == scheduler_.workers().end() ? std::nullopt : known->second.coverage;
+}
+
+void shard_owner::log_coverage_change(const worker_id& worker, std::optional<report_coverage> earlier) {
+    const std::optional<report_coverage> present = coverage_of(worker);
+    const bool is_ordinary = !earlier && present == report_coverage::complete;
+    if (!present || present == earlier || is_ordinary) {
+        return;
+    }
+    log_event(log_severity::info, "worker_coverage_changed",
+              {{"worker", worker.value()},
+               {"fence", std::to_string(ownership_->fencing_token())},
+               {"before", earlier ? std::string(to_string(*earlier)) : "none"},
+               {"coverage", std::string(to_string(*present))}});
+}
+
 void shard_owner::on_unreachable(const worker_id& worker, worker_error error) {
     // In the order of worker_error.
     static constexpr std::array<std::string_view, 4> error_names = {"unreachable", "other-worker",
--- a/source/jobs/shard_owner.cpp
+++ b/source/jobs/shard_owner.cpp
@@ -276,7 +276,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const absl::Time now = dependencies_.time.now();
     const bool is_due = now >= term_.granted_at + options_.limits.takeover_wait();
-    if (scheduler_.is_recovered() || (!is_due && !scheduler_.is_every_worker_accounted_for())) {
+    if (scheduler_.is_recovered() || !scheduler_.can_finish_recovery(is_due)) {
         return;
     }
     scheduler_.finish_recovery(now);
--- a/source/jobs/shard_owner.h
+++ b/source/jobs/shard_owner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -140,6 +141,10 @@
     // Passes the orders to the sessions of their workers. Precondition: mutex_ is held.
     void dispatch_orders(std::vector<worker_order> orders);
     void log_events(const std::vector<job_event>& events);
+    // How much of what earlier owners left on the worker is known. Precondition: mutex_ is held.
+    std::optional<report_coverage> coverage_of(const worker_id& worker) const;
+    // Logs that the reports of a worker were incomplete, or no longer are. Precondition: mutex_ is held.
+    void log_coverage_change(const worker_id& worker, std::optional<report_coverage> earlier);
     // Stores the changed records of jobs and sends the start orders that wait for them.
     void commit_batch();
     // Removes the keys of jobs that ended longer than the retention ago, and of obsolete hand-over requests.
--- a/tests/decision/jobs/job_scheduler_test.cpp
+++ b/tests/decision/jobs/job_scheduler_test.cpp
@@ -172,12 +172,12 @@
                        .specification = {.steps = {job_fixture::make_step(2)}}},
                       {.accepted_at = now, .is_inherited = true}, nullptr);
     scheduler.handle_report(worker_id("w1"), {.started_ms = 1}, now, now);
-    CHECK_FALSE(scheduler.is_every_worker_accounted_for());
+    CHECK_FALSE(scheduler.can_finish_recovery(false));
     CHECK(scheduler.plan(now, absl::ZeroDuration()).empty());
     scheduler.handle_report(worker_id("w2"),
                             {.started_ms = 1, .running = {{.task = job_fixture::task("j", 1), .run = 3}}},
                             now, now);
-    REQUIRE(scheduler.is_every_worker_accounted_for());
+    REQUIRE(scheduler.can_finish_recovery(false));
     scheduler.finish_recovery(now);
     CHECK(scheduler.plan(now, absl::ZeroDuration()).empty());
     const auto orders = scheduler.confirm_batch(scheduler.take_batch(now), true);
--- a/tests/decision/jobs/job_simulation.cpp
+++ b/tests/decision/jobs/job_simulation.cpp
@@ -7,11 +7,14 @@
 namespace {
 
 constexpr absl::Duration fault_duration = absl::Seconds(10);
-// Longer than the longest takeover wait and the longest tasks.
-constexpr absl::Duration recovery_duration = absl::Seconds(40);
+// Longer than the takeover wait, the time until the last occurrence is due, and all attempts of the longest
+// tasks in both steps of a job.
+constexpr absl::Duration recovery_duration = absl::Seconds(110);
 constexpr absl::Duration poll_interval = absl::Milliseconds(80);
 constexpr absl::Duration renewal_interval = absl::Milliseconds(500);
 constexpr std::int64_t worker_cpu_millis = 4000;
+// Small, so that workers often have more run ends than they list.
+constexpr std::size_t maximum_listed_ends = 2;
 // By how much the wall clock of an owner may be wrong.
 constexpr int maximum_clock_error_ms = 700;
 // The sender of an order closes its connection after this time, and the order is lost if it is still in
@@ -125,6 +128,8 @@
     worker.runs.clear();
     worker.ends.clear();
     worker.last_end = 0;
+    worker.last_end_before_lapse = 0;
+    worker.superseded_ends.clear();
     worker.lease_end_ms = 0;
     std::erase_if(worker.delayed_orders, [&](const delayed_order& delayed) {
         return delayed.sent_at + order_timeout < now_ || delayed.fencing_token < worker.fencing_token ||
@@ -185,6 +190,10 @@
         if (!worker.is_alive) {
             continue;
         }
+        if (worker.clock_ms(now_) >= worker.lease_end_ms) {
+            worker.last_end_before_lapse = worker.last_end;
+            worker.superseded_ends.clear();
+        }
         std::vector<std::pair<task_name, run_outcome>> ended;
         for (const auto& [task, run] : worker.runs) {
             if (worker.clock_ms(now_) >= worker.lease_end_ms) {
@@ -285,7 +294,7 @@
         }
     }
     const bool is_due = now_ >= owner.granted_at + limits_.takeover_wait();
-    if (!owner.scheduler.is_recovered() && (is_due || owner.scheduler.is_every_worker_accounted_for())) {
+    if (!owner.scheduler.is_recovered() && owner.scheduler.can_finish_recovery(is_due)) {
         owner.scheduler.finish_recovery(now_);
     }
     send_orders(owner, owner.scheduler.plan(now_, owner.wall_clock_error));
@@ -325,13 +334,13 @@
     // The session acknowledges no run ends after a failed poll, since the worker may have restarted.
     const bool has_restarted = state.started_ms != worker.entry.started_ms;
     const std::int64_t acknowledged = connection.is_responding && !has_restarted ? last_end : 0;
-    std::erase_if(worker.ends, [&](const listed_end& end) {
-        if (end.sequence_number <= acknowledged && end.outcome == run_outcome::done) {
-            acknowledged_completions_.insert(end.task);
-        }
-        return end.sequence_number <= acknowledged;
-    });
+    acknowledge_ends(worker, acknowledged);
     worker_report report{.started_ms = worker.entry.started_ms, .ended = worker.ends};
+    if (report.ended.size() >= maximum_listed_ends) {
+        report.ended.resize(maximum_listed_ends);
+        report.coverage = options_.takes_partial_reports_as_complete ? report_coverage::complete
+                                                                     : report_coverage::unlisted_ends;
+    }
     for (const auto& [task, run] : worker.runs) {
         report.running.push_back(
             {.task = task, .run = run.run, .progress_percent = static_cast<int>(random_() % 100)});
@@ -443,6 +452,22 @@
     return start_outcome::accepted;
 }
 
+void job_simulation::acknowledge_ends(simulated_worker& worker, std::int64_t last_acknowledged) {
+    std::erase_if(worker.ends, [&](const listed_end& end) {
+        if (end.sequence_number > last_acknowledged) {
+            return false;
+        }
+        if (end.outcome == run_outcome::done) {
+            acknowledged_completions_.insert(end.task);
+        }
+        if (worker.superseded_ends.contains(end.sequence_number)) {
+            report_violation(to_string(end.task) + " run " + std::to_string(end.run) +
+                             " ended with a result, which is acknowledged after a later start");
+        }
+        return true;
+    });
+}
+
 void job_simulation::check_start(const simulated_worker& worker, const worker_order& order) {
     const std::string name = to_string(order.task) + " run " + std::to_string(order.run);
     for (const auto& [id, other] : workers_) {
@@ -451,6 +476,14 @@
                              id.value());
         }
     }
+    for (auto& [id, other] : workers_) {
+        for (const listed_end& end : other.ends) {
+            if (other.is_alive && end.task == order.task && end.outcome == run_outcome::done &&
+                end.sequence_number > other.last_end_before_lapse) {
+                other.superseded_ends.insert(end.sequence_number);
+            }
+        }
+    }
     if (stored_completions_.contains(order.task) ||
         jobs_.at(order.task.job).record.phase == job_phase::completed) {
         report_violation(name + " starts after its completion was stored");
--- a/tests/decision/jobs/job_simulation.h
+++ b/tests/decision/jobs/job_simulation.h
@@ -19,9 +19,9 @@
 // decision code. The simulation delivers, loses and delays their messages, crashes workers and owners,
 // restarts workers under the same id, pauses owners, and checks the invariants: at most one run of a task
 // exists, no task starts before its time, before the steps that it depends on or after its completion was
-// stored or acknowledged, no task exceeds its maximum number of attempts, no record changes after its job
-// ended, and in the end every job has ended. Simulated workers refuse starts that exceed their capacity.
-// Thread safety: none.
+// stored or acknowledged, no result is acknowledged after a later start of its task, no task exceeds its
+// maximum number of attempts, no record changes after its job ended, and in the end every job has ended.
+// Simulated workers refuse starts that exceed their capacity. Thread safety: none.
 class job_simulation {
 public:
     struct options {
@@ -32,6 +32,7 @@
         bool skips_takeover_wait = false;
         bool acknowledges_before_storing = false;
         bool releases_all_runs_at_restart = false;
+        bool takes_partial_reports_as_complete = false;
     };
 
     explicit job_simulation(const options& options);
@@ -80,6 +81,10 @@
         std::map<task_name, run_number> highest_blocked_run = {};
         std::vector<listed_end> ends = {};
         std::int64_t last_end = 0;
+        // When the lease lapsed last, ends up to this one were listed.
+        std::int64_t last_end_before_lapse = 0;
+        // Ends with a result after which the task was started again, while the worker held its lease.
+        std::set<std::int64_t> superseded_ends = {};
         std::vector<delayed_order> delayed_orders = {};
 
         bool is_partitioned_from(fencing_token_value token, absl::Time now) const {
@@ -149,6 +154,7 @@
     start_outcome start_at(simulated_worker& worker, const worker_order& order, std::int64_t until_ms,
                            fencing_token_value fencing_token);
     void check_start(const simulated_worker& worker, const worker_order& order);
+    void acknowledge_ends(simulated_worker& worker, std::int64_t last_acknowledged);
     void store_batch(simulated_owner& owner);
 
     const options options_;
--- a/tests/decision/jobs/job_simulation_test.cpp
+++ b/tests/decision/jobs/job_simulation_test.cpp
@@ -51,6 +51,9 @@
     SUBCASE("the restart of a worker releases runs that the new incarnation has accepted") {
         CHECK(first_failing_seed({.releases_all_runs_at_restart = true}, 500, what) != 0);
     }
+    SUBCASE("a report that lists some of the run ends counts as complete") {
+        CHECK(first_failing_seed({.takes_partial_reports_as_complete = true}, 500, what) != 0);
+    }
     SUBCASE("a run end is acknowledged before its record is stored") {
         CHECK(first_failing_seed({.acknowledges_before_storing = true}, 500, what) != 0);
     }
--- a/tests/decision/jobs/owner_takeover_test.cpp
+++ b/tests/decision/jobs/owner_takeover_test.cpp
@@ -144,4 +144,53 @@
     CHECK(orders[0].task == unknown);
 }
 
+// Guards against tasks that run again although they have ended: a worker lists only some of many run ends,
+// and the others come after these are acknowledged.
+TEST_CASE("a new owner starts no task whose end a worker may have yet to list") {
+    takeover_fixture fixture(3);
+    const auto end_of = [](int index) {
+        return listed_end{.sequence_number = index + 1,
+                          .task = takeover_fixture::task(index),
+                          .run = 1,
+                          .outcome = run_outcome::done};
+    };
+    const auto w1 = [&]() -> const worker_state& { return fixture.scheduler.workers().at(worker_id("w1")); };
+    fixture.report("w2", {});
+    fixture.report("w1", {.ended = {end_of(0)}, .coverage = report_coverage::unlisted_ends});
+    CHECK_FALSE(fixture.scheduler.can_finish_recovery(false));
+    CHECK_FALSE(fixture.scheduler.can_finish_recovery(true));
+    CHECK_FALSE(w1().is_known_to_be_idle());
+    CHECK(fixture.scheduler.plan(fixture.now, fixture.wall_clock_offset).empty());
+    const record_batch batch = fixture.scheduler.take_batch(fixture.now);
+    CHECK(batch.starts.empty());
+    // An owner that succeeds this one has to wait for the worker too.
+    REQUIRE(batch.updates.size() == 1);
+    CHECK(batch.updates[0].record.find("w1") != std::string::npos);
+    CHECK(fixture.scheduler.confirm_batch(batch, true).empty());
+    SUBCASE("the worker lists the other ends") {
+        fixture.report("w1", {.ended = {end_of(1), end_of(2)}});
+        CHECK(fixture.scheduler.can_finish_recovery(false));
+        CHECK(fixture.plan().empty());
+        CHECK(w1().is_known_to_be_idle());
+    }
+    SUBCASE("the worker becomes unreachable until its run leases have expired") {
+        fixture.scheduler.handle_unreachable(worker_id("w1"));
+        CHECK_FALSE(fixture.scheduler.can_finish_recovery(true));
+        CHECK(fixture.plan().empty());
+        fixture.scheduler.handle_lease_expired(worker_id("w1"), fixture.now);
+        CHECK(fixture.scheduler.can_finish_recovery(true));
+        CHECK(fixture.plan().size() == 2);
+    }
+}
+
+// Guards against a burst of run ends that keeps new tasks off a worker, or delays an owner's own tasks.
+TEST_CASE("a worker that has been covered completely stays so when many runs end at once") {
+    takeover_fixture fixture(1);
+    fixture.report("w1", {});
+    fixture.report("w2", {});
+    fixture.report("w1", {.coverage = report_coverage::unlisted_ends});
+    CHECK(fixture.scheduler.can_finish_recovery(false));
+    CHECK(fixture.plan().size() == 1);
+}
+
 }  // namespace masticpass
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -103,11 +103,29 @@
     CHECK(response->report.ended[0].outcome == run_outcome::done);
     CHECK(response->report.started_ms == 5);
     // The unreadable row may be that of a run, which must not count as ended.
-    CHECK(response->report.is_partial);
+    CHECK(response->report.coverage == report_coverage::unreadable_runs);
     CHECK_FALSE(parse_poll_response("{}").has_value());
     CHECK_FALSE(parse_poll_response("nothing").has_value());
 }
 
+// Guards against run ends that a new owner takes for absent: a worker lists at most 500 in one response.
+TEST_CASE("a response with the most run ends that a worker lists leaves others unlisted") {
+    const auto coverage = [](int end_count) {
+        std::string rows;
+        for (int number = 1; number <= end_count; ++number) {
+            rows += (number == 1 ? "[" : ",[") + std::to_string(number) + R"(,"5c0e7a21d94b36f8.0.0.)" +
+                    std::to_string(number) + R"(",1,"done",""])";
+        }
+        const auto response =
+            parse_poll_response(R"({"clock_ms":5,"running":[["bad",1]],"finished":[)" + rows + "]}");
+        REQUIRE(response.has_value());
+        REQUIRE(response->report.ended.size() == static_cast<std::size_t>(end_count));
+        return response->report.coverage;
+    };
+    CHECK(coverage(499) == report_coverage::unreadable_runs);
+    CHECK(coverage(500) == report_coverage::unlisted_ends);
+}
+
 // Guards against values from outside that end the process or overflow, such as a token that is no string.
 TEST_CASE("values of unexpected types and sizes are refused or limited") {
     CHECK_FALSE(parse_vm_page(R"({"machines":[],"next_token":{}})").has_value());
@@ -127,7 +145,7 @@
     CHECK(report->report.running[1].progress_percent == 0);
     CHECK(report->report.running[1].load == 0);
     CHECK(report->report.running[2].progress_percent == 0);
-    CHECK_FALSE(report->report.is_partial);
+    CHECK(report->report.coverage == report_coverage::complete);
     const auto job = parse_job_body(R"({"steps":[{"count":1,"cpu":9000000000000000000}]})");
     CHECK_FALSE(job.has_value());
 }
