--- a/tests/decision/jobs/job_simulation.h
+++ b/tests/decision/jobs/job_simulation.h
@@ -42,6 +42,9 @@
 
 private:
     static constexpr int worker_count = 4;
+    static constexpr std::int64_t worker_cpu_millis = 4000;
+    // By how much the wall clock of an owner may be wrong.
+    static constexpr int maximum_clock_error_ms = 700;
     static constexpr absl::Duration tick = absl::Milliseconds(40);
     static constexpr int max_attempts = 3;
 
--- a/tests/decision/jobs/owner_takeover_test.cpp
+++ b/tests/decision/jobs/owner_takeover_test.cpp
@@ -121,8 +121,8 @@
     CHECK(fixture.scheduler.find_job(job_id("j"))->phase() == job_phase::running);
 }
 
-// Guards against runs of tasks that a job doesn't have, and against a number that creates occurrences without
-// end.
+// Guards against runs of tasks that a job does not have, and against a number that creates occurrences
+// without end.
 TEST_CASE("a reported run of a task that the job does not have is stopped") {
     takeover_fixture fixture(1);
     task_name unknown = takeover_fixture::task(0, takeover_fixture::occurrences);
