--- a/source/decision/jobs/tracked_job.h
+++ b/source/decision/jobs/tracked_job.h
@@ -116,8 +116,8 @@
 
     // Null if the job has no such task or its occurrence has not been created.
     tracked_task* find_task(const task_name& task);
-    // Returns the task of a run that a worker reports; null if the job has no such task. A run shows that an
-    // owner found the occurrence due, so the occurrence is created unless it exists.
+    // Returns the task of a run that a worker reports or a record lists; null if the job has no such task.
+    // The run shows that an owner found the occurrence due, so the occurrence is created unless it exists.
     tracked_task* find_started_task(const task_name& task);
     run_number next_run_number(const tracked_task& task) const {
         return std::max(task.last_run_number + 1, origin_.first_run_number);
