--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -9,6 +9,7 @@
 constexpr int entry_count = 3;
 constexpr std::int64_t failing_ms = 42000;
 constexpr std::int64_t cut_ms = 12000;
+constexpr std::int64_t kill_delay_ms = 200;
 
 std::string job_body() {
     return R"({"spec":"lasting work","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":1000,"long_running":true}]})";
@@ -46,11 +47,11 @@
     if (is_trouble()) {
         record.line("minion %s is cut off from the entry VMs and runs on", minion->configured.id.c_str());
         minion->is_cut_off = true;
-        sleep_ms(1000);
+        sleep_ms(kill_delay_ms);
         owner->kill_now();
         owner->start();
     }
-    sleep_ms(cut_ms - 1000);
+    sleep_ms(cut_ms - kill_delay_ms);
     if (is_trouble()) {
         minion->is_cut_off = false;
         record.line("minion %s is back", minion->configured.id.c_str());
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -9,6 +9,7 @@
 #include <httplib.h>
 #include <json/json.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -925,6 +926,8 @@
         const std::string log = folder_ + "/entry-" + std::to_string(number) + ".log";
         pid_ = fork();
         if (pid_ == 0) {
+            // The process ends with this program, however this program ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
