--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -10,9 +10,11 @@
 constexpr std::int64_t run_ms = 200;
 constexpr int status_s = 60;
 constexpr int jobs_per_s = 20;
-constexpr int outages = 5;
+constexpr int outages = 6;
 constexpr std::int64_t outage_ms = 800;
-constexpr std::int64_t outage_gap_ms = 3000;
+// The gaps differ, so that the outages don't keep missing the removals, which are one second apart.
+constexpr std::int64_t outage_gap_ms = 2600;
+constexpr std::int64_t gap_growth_ms = 270;
 
 std::string job_body() {
     return R"({"spec":"work","steps":[{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":200}]})";
@@ -43,7 +45,7 @@
                 world.store.is_busy = false;
                 record.line("the store is back");
             }
-            sleep_ms(outage_gap_ms);
+            sleep_ms(outage_gap_ms + number * gap_growth_ms);
         }
         sleep_ms(5000);
         if (is_trouble()) {
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -206,8 +206,13 @@
         }
         return found;
     }
-    // The store forgets its history: watches that continue from an earlier revision get 410.
+    // The store forgets its history, as `fleetbench kinds` says of platform_compact: watches hear nothing for a
+    // second while changes are made, then the history is dropped and they are cut. A watch that continues from an
+    // earlier revision gets 410.
     void discard_history() {
+        is_watch_silent_ = true;
+        sleep_ms(1000);
+        is_watch_silent_ = false;
         const std::lock_guard<std::mutex> lock(mutex_);
         ++revision_;
         discarded_before_ = revision_;
@@ -241,6 +246,7 @@
         limit_second_ = second;
         return reads_in_second_ <= reads_per_s;
     }
+    std::atomic<bool> is_watch_silent_ = false;
     std::mutex limit_mutex_;
     std::int64_t limit_second_ = 0;
     int reads_in_second_ = 0;
@@ -376,6 +382,17 @@
                 respond(response, 410, empty_object());
                 return;
             }
+            if (is_watch_silent_ && steady::now() >= deadline) {
+                answer["events"] = Json::Value(Json::arrayValue);
+                answer["as_of"] = Json::Int64(after);
+                lock.unlock();
+                respond(response, 200, answer);
+                return;
+            }
+            if (is_watch_silent_) {
+                changed_.wait_until(lock, deadline);
+                continue;
+            }
             Json::Value events(Json::arrayValue);
             const auto first = std::partition_point(events_.begin(), events_.end(), [after](const event& one) {
                 return one.entry.revision <= after;
