Report a wave as completed only by a list of VMs that is younger than the wave

An operator read that a wave was completed before the maintenance of its VM had begun. The VM had joined while the VMs could not be listed; the wave came 3 s later, and the last list, 4.6 s old, didn't show the VM. A VM that the last list doesn't show counted as terminated, however old that list was.

The progress of a wave has three values now: running, completed, and unknown. A VM that isn't listed was terminated if the list was requested later than the wave became known to this owner (by the delay that lists may have), and may exist otherwise. While the progress is unknown, what operators were told before stays in force, also under a new owner, which no longer reports each wave anew. The same question is asked where orders and draining VMs are dropped because their VM is gone. wave_reported is logged when operators are told something new.

--- a/source/decision/jobs/fleet_planner.cpp
+++ b/source/decision/jobs/fleet_planner.cpp
@@ -37,10 +37,16 @@
 }
 
 void fleet_planner::set_waves(std::span<const wave_request> waves, absl::Time now) {
-    waves_.assign(waves.begin(), waves.end());
-    for (const wave_request& wave : waves_) {
+    for (const wave_request& wave : waves) {
         wave_known_since_.try_emplace(wave.name, now);
+        const auto earlier = std::find_if(waves_.begin(), waves_.end(), [&](const wave_request& request) {
+            return request.name == wave.name;
+        });
+        if (earlier == waves_.end() || earlier->vms != wave.vms) {
+            wave_vms_known_since_[wave.name] = now;
+        }
     }
+    waves_.assign(waves.begin(), waves.end());
 }
 
 bool fleet_planner::may_drain(const wave_request& wave, const fleet_vm& vm, const job_scheduler& scheduler,
@@ -84,6 +90,13 @@
     return found == vms_.end() ? nullptr : &found->second;
 }
 
+fleet_planner::vm_presence fleet_planner::presence_of(const vm_id& vm, absl::Time known_since) const {
+    if (vms_.contains(vm)) {
+        return vm_presence::listed;
+    }
+    return known_since + limits_.list_delay < listed_at_ ? vm_presence::terminated : vm_presence::unknown;
+}
+
 void fleet_planner::set_vms(std::span<const fleet_vm> vms, absl::Time listed_at) {
     vms_.clear();
     for (const fleet_vm& vm : vms) {
@@ -125,7 +138,7 @@
         const order_state& state = entry.second;
         const fleet_vm* const vm = find(entry.first);
         if (vm == nullptr) {
-            return true;
+            return presence_of(entry.first, state.ordered_at) == vm_presence::terminated;
         }
         const absl::Duration shortest =
             state.order.is_move() ? limits_.minimum_move_duration : limits_.minimum_maintenance_duration;
@@ -138,7 +151,10 @@
     });
     std::erase_if(draining_, [&](const auto& entry) {
         const fleet_vm* const vm = find(entry.first);
-        return vm == nullptr || (!vm->worker.empty() && vm->worker != entry.second.worker);
+        if (vm == nullptr) {
+            return presence_of(entry.first, entry.second.since) == vm_presence::terminated;
+        }
+        return !vm->worker.empty() && vm->worker != entry.second.worker;
     });
 }
 
@@ -148,11 +164,21 @@
                                       : std::vector<vm_id>(found->second.begin(), found->second.end());
 }
 
-bool fleet_planner::is_completed(const wave_request& wave) const {
+wave_progress fleet_planner::progress_of(const wave_request& wave) const {
     const auto done = maintained_.find(wave.name);
-    return std::all_of(wave.vms.begin(), wave.vms.end(), [&](const vm_id& vm) {
-        return (done != maintained_.end() && done->second.contains(vm)) || find(vm) == nullptr;
-    });
+    const absl::Time vms_known_since = wave_vms_known_since_.at(wave.name);
+    bool is_any_unknown = false;
+    for (const vm_id& vm : wave.vms) {
+        if (done != maintained_.end() && done->second.contains(vm)) {
+            continue;
+        }
+        const vm_presence presence = presence_of(vm, vms_known_since);
+        if (presence == vm_presence::listed) {
+            return wave_progress::running;
+        }
+        is_any_unknown = is_any_unknown || presence == vm_presence::unknown;
+    }
+    return is_any_unknown ? wave_progress::unknown : wave_progress::completed;
 }
 
 std::vector<vm_order> fleet_planner::plan(job_scheduler& scheduler, std::span<const worker_pool_rules> pools,
--- a/source/decision/jobs/fleet_planner.h
+++ b/source/decision/jobs/fleet_planner.h
@@ -38,6 +38,14 @@
     int maximum_down = 1;
 };
 
+// How far a wave has come. A list of VMs that is older than the wave, or older than one of its VMs, does not
+// show which VMs exist.
+enum class wave_progress {
+    running,    // A VM of the wave exists and has yet to be maintained.
+    completed,  // Every VM of the wave that still exists was maintained.
+    unknown,    // One of these: whether the VMs that were not maintained exist is not known.
+};
+
 struct vm_order {
     vm_id vm = {};
     // The pool that a move goes to; empty for maintenance.
@@ -72,8 +80,8 @@
     // that is outdated.
     absl::Duration minimum_move_duration = absl::Milliseconds(1500);
     absl::Duration minimum_maintenance_duration = absl::Seconds(2);
-    // A list contains every worker whose VM was up and which became known at least this long before the list
-    // was requested.
+    // A list contains every VM that became known at least this long before the list was requested, and every
+    // worker that did so on a VM that was up.
     absl::Duration list_delay = absl::Seconds(1);
 };
 
@@ -96,6 +104,7 @@
     absl::Time known_since(const wave_name& wave) const { return wave_known_since_.at(wave); }
     // Sends no orders for these VMs before `until`, because an earlier owner recently sent orders for them.
     void block(std::span<const vm_id> vms, absl::Time until);
+    // `now` is a time after the waves were read.
     void set_waves(std::span<const wave_request> waves, absl::Time now);
     // Replaces the list of VMs. `listed_at` is a time before the list was requested.
     void set_vms(std::span<const fleet_vm> vms, absl::Time listed_at);
@@ -112,8 +121,8 @@
     void handle_order_outcome(const vm_order& order, std::optional<bool> is_done, job_scheduler& scheduler);
 
     std::vector<vm_id> maintained(const wave_name& wave) const;
-    // Returns whether every VM of the wave that still exists was maintained.
-    bool is_completed(const wave_request& wave) const;
+    // Precondition: the wave was passed to set_waves.
+    wave_progress progress_of(const wave_request& wave) const;
     std::span<const wave_request> waves() const { return waves_; }
     // Returns whether the list of VMs does not yet show the effect of some order.
     bool has_pending_orders() const { return !orders_.empty(); }
@@ -126,7 +135,16 @@
         bool is_confirmed = false;
     };
 
+    // What the last list says of a VM that existed once.
+    enum class vm_presence {
+        listed,
+        terminated,  // The list was requested after the VM became known, and does not show it.
+        unknown,     // The list is too old to show the VM.
+    };
+
     const fleet_vm* find(const vm_id& vm) const;
+    // `known_since` is when this owner learned of the VM.
+    vm_presence presence_of(const vm_id& vm, absl::Time known_since) const;
     // Returns whether the VM has an order, is draining, or gets no orders because of block().
     bool is_reserved(const vm_id& vm, absl::Time now) const;
     // Number of draining VMs that have long-running tasks.
@@ -168,6 +186,8 @@
     std::vector<wave_request> waves_;
     // When each wave became known, to this owner or to the earlier one that restore_wave refers to.
     std::map<wave_name, absl::Time> wave_known_since_;
+    // When this owner learned which VMs each wave has.
+    std::map<wave_name, absl::Time> wave_vms_known_since_;
     std::map<wave_name, std::set<vm_id>> maintained_;
     std::map<vm_id, fleet_vm> vms_;
     absl::Time listed_at_ = absl::InfinitePast();
--- a/source/jobs/vm_controller.cpp
+++ b/source/jobs/vm_controller.cpp
@@ -106,8 +106,9 @@
             log_event(log_severity::error, "wave_record_unreadable", {{"key", entry.key}});
             continue;
         }
-        planner_.restore_wave(wave_name(entry.key.substr(wave_prefix.size())),
-                              to_identifiers<vm_id>(*maintained),
+        const wave_name wave(entry.key.substr(wave_prefix.size()));
+        stored_waves_[wave].maintained_count = maintained->size();
+        planner_.restore_wave(wave, to_identifiers<vm_id>(*maintained),
                               dependencies_.time.now() - (absl::Now() - absl::FromUnixMillis(*known_since)));
     }
     return true;
@@ -123,7 +124,7 @@
         log_event(log_severity::warning, "wave_list_failed", {{"message", waves.error()}});
         return;
     }
-    planner_.set_waves(*waves, now);
+    planner_.set_waves(*waves, dependencies_.time.now());
 }
 
 void vm_controller::read_vms(absl::Time now) {
@@ -240,23 +241,47 @@
 
 void vm_controller::store_wave_states() {
     std::vector<store_write> writes;
+    std::vector<wave_request> reported;
     std::map<wave_name, stored_wave> next_stored_waves = stored_waves_;
     for (const wave_request& wave : planner_.waves()) {
         stored_wave& stored = next_stored_waves[wave.name];
-        const std::vector<vm_id> maintained = planner_.maintained(wave.name);
-        const bool is_completed = planner_.is_completed(wave);
-        if (!stored.is_stored || maintained.size() != stored.maintained_count) {
-            const absl::Duration known_for = dependencies_.time.now() - planner_.known_since(wave.name);
-            writes.push_back({.key = std::string(wave_prefix) + wave.name.value(),
-                              .value = serialize_wave(maintained, absl::Now() - known_for)});
+        const wave_progress reported_before = stored.reported;
+        update_stored_wave(wave, stored, writes);
+        if (stored.reported != reported_before) {
+            writes.push_back(
+                dependencies_.waves.status_write(wave.name, stored.reported == wave_progress::completed));
+            reported.push_back(wave);
         }
-        if (!stored.is_stored || is_completed != stored.is_completed) {
-            writes.push_back(dependencies_.waves.status_write(wave.name, is_completed));
-        }
-        stored = {.maintained_count = maintained.size(), .is_stored = true, .is_completed = is_completed};
     }
-    if (!writes.empty() && dependencies_.writer.write(std::move(writes), {})) {
-        stored_waves_ = std::move(next_stored_waves);
+    if (writes.empty() || !dependencies_.writer.write(std::move(writes), {})) {
+        return;
+    }
+    stored_waves_ = std::move(next_stored_waves);
+    for (const wave_request& wave : reported) {
+        const stored_wave& stored = stored_waves_.at(wave.name);
+        log_event(log_severity::info, "wave_reported",
+                  {{"wave", wave.name.value()},
+                   {"progress", stored.reported == wave_progress::completed ? "completed" : "running"},
+                   {"maintained", std::to_string(*stored.maintained_count)},
+                   {"vms", std::to_string(wave.vms.size())}});
+    }
+}
+
+void vm_controller::update_stored_wave(const wave_request& wave, stored_wave& stored,
+                                       std::vector<store_write>& writes) const {
+    const bool is_new = !stored.maintained_count;
+    const std::vector<vm_id> maintained = planner_.maintained(wave.name);
+    if (is_new || maintained.size() != *stored.maintained_count) {
+        const absl::Duration known_for = dependencies_.time.now() - planner_.known_since(wave.name);
+        writes.push_back({.key = std::string(wave_prefix) + wave.name.value(),
+                          .value = serialize_wave(maintained, absl::Now() - known_for)});
+        stored.maintained_count = maintained.size();
+    }
+    const wave_progress progress = planner_.progress_of(wave);
+    if (progress != wave_progress::unknown) {
+        stored.reported = progress;
+    } else if (is_new) {
+        stored.reported = wave_progress::running;
     }
 }
 
--- a/source/jobs/vm_controller.h
+++ b/source/jobs/vm_controller.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,11 +84,12 @@
     // Maximum number of orders whose responses are awaited at the same time.
     static constexpr std::size_t maximum_concurrent_orders = 8;
 
-    // The state of a wave as it was last stored.
+    // The state of a wave as it was last stored, by this owner or an earlier one.
     struct stored_wave {
-        std::size_t maintained_count = 0;
-        bool is_stored = false;
-        bool is_completed = false;
+        // Nullopt if the wave was never stored.
+        std::optional<std::size_t> maintained_count = {};
+        // What operators were told by this owner; unknown if it has told them nothing.
+        wave_progress reported = wave_progress::unknown;
     };
 
     void read_waves(absl::Time now);
@@ -106,6 +108,10 @@
     void send_order(const vm_order& order, job_scheduler& scheduler, std::mutex& mutex);
     // Stores the states of the waves that have changed, for later owners and for operators.
     void store_wave_states();
+    // Brings the stored state of a wave up to date. Adds the write of what later owners need to `writes`.
+    // While the progress is unknown, what operators were told before stays in force.
+    void update_stored_wave(const wave_request& wave, stored_wave& stored,
+                            std::vector<store_write>& writes) const;
 
     const dependencies dependencies_;
     const vm_controller_options options_;
--- a/tests/decision/jobs/fleet_planner_test.cpp
+++ b/tests/decision/jobs/fleet_planner_test.cpp
@@ -184,7 +184,7 @@
     const auto again = fixture.plan();
     REQUIRE(again.size() == 1);
     CHECK(again[0].vm == first[0].vm);
-    CHECK_FALSE(fixture.planner.is_completed(waves[0]));
+    CHECK(fixture.planner.progress_of(waves[0]) == wave_progress::running);
 }
 
 // Guards against two owners that send orders for one VM in succession: the order of the earlier one may still
@@ -218,6 +218,31 @@
     CHECK(fixture.planner.terminated_workers(fixture.jobs.scheduler).size() == 2);
 }
 
+// Guards against a wave that counts as completed because the last list of VMs is older than the wave and does
+// not show its VM.
+TEST_CASE("only a list that is younger than the wave shows that a VM of the wave was terminated") {
+    planner_fixture fixture(0, 1);
+    wave_request wave{.name = wave_name("1"), .vms = {vm_id("s2")}};
+    const auto set_wave = [&] { fixture.planner.set_waves({&wave, 1}, fixture.jobs.now); };
+    const auto progress = [&] { return fixture.planner.progress_of(wave); };
+    set_wave();
+    CHECK(progress() == wave_progress::unknown);
+    fixture.jobs.now += absl::Milliseconds(500);
+    fixture.list();
+    CHECK(progress() == wave_progress::unknown);
+    fixture.jobs.now += absl::Seconds(1);
+    fixture.list();
+    CHECK(progress() == wave_progress::completed);
+    // The operator adds a VM to the wave.
+    wave.vms.emplace_back("s3");
+    set_wave();
+    CHECK(progress() == wave_progress::unknown);
+    fixture.vms.push_back(fixture.vms.front());
+    fixture.vms.back().vm = vm_id("s3");
+    fixture.list();
+    CHECK(progress() == wave_progress::running);
+}
+
 // Random waves on VMs that return late, with lost responses and outdated lists: there are never more VMs down
 // than allowed, every VM is maintained, and the wave is not complete before that.
 TEST_CASE("waves keep their limit of down VMs and complete") {
@@ -236,7 +261,10 @@
         std::map<vm_id, vm_progress> progress_by_vm;
         int next_worker = 100;
         std::vector<worker_entry> joined = fixture.jobs.entries;
-        for (int step = 0; step < 2000 && !fixture.planner.is_completed(wave); ++step) {
+        const auto is_completed = [&] {
+            return fixture.planner.progress_of(wave) == wave_progress::completed;
+        };
+        for (int step = 0; step < 2000 && !is_completed(); ++step) {
             fixture.jobs.now += absl::Milliseconds(150);
             const absl::Time now = fixture.jobs.now;
             int down = 0;
@@ -275,13 +303,13 @@
                 const std::optional<bool> response = chance(20) ? std::nullopt : std::optional(true);
                 fixture.planner.handle_order_outcome(order, response, fixture.jobs.scheduler);
             }
-            if (fixture.planner.is_completed(wave)) {
+            if (is_completed()) {
                 for (const vm_id& vm : wave.vms) {
                     CHECK(progress_by_vm[vm].is_maintained);
                 }
             }
         }
-        CHECK(fixture.planner.is_completed(wave));
+        CHECK(is_completed());
     }
 }
 
