Don't take a VM for terminated because a row of the VM list can't be read

Looked for beside the wave that was reported too early: a row of the list without a readable name, pool or state was skipped, and the VM counted as terminated. Its worker's tasks would start elsewhere while they ran, its order would be forgotten, and its wave could be completed. A state that isn't known, or an id of a worker that is no string, passed as a VM that is off.

The list says now whether it is complete, and only a complete one shows that a VM was terminated. Rows with an unknown state or an unreadable worker are unusable.

--- a/source/decision/jobs/fleet_planner.cpp
+++ b/source/decision/jobs/fleet_planner.cpp
@@ -94,19 +94,24 @@
     if (vms_.contains(vm)) {
         return vm_presence::listed;
     }
-    return known_since + limits_.list_delay < listed_at_ ? vm_presence::terminated : vm_presence::unknown;
+    const bool would_be_listed = is_list_complete_ && known_since + limits_.list_delay < listed_at_;
+    return would_be_listed ? vm_presence::terminated : vm_presence::unknown;
 }
 
-void fleet_planner::set_vms(std::span<const fleet_vm> vms, absl::Time listed_at) {
+void fleet_planner::set_vms(const fleet_vm_list& list, absl::Time listed_at) {
     vms_.clear();
-    for (const fleet_vm& vm : vms) {
+    for (const fleet_vm& vm : list.vms) {
         vms_.emplace(vm.vm, vm);
     }
     listed_at_ = listed_at;
+    is_list_complete_ = list.is_complete;
     remove_finished_orders(listed_at);
 }
 
 std::vector<worker_id> fleet_planner::terminated_workers(const job_scheduler& scheduler) const {
+    if (!is_list_complete_) {
+        return {};
+    }
     std::set<worker_id> present;
     for (const auto& [id, vm] : vms_) {
         if (vm.phase == fleet_vm_phase::up) {
--- a/source/decision/jobs/fleet_planner.h
+++ b/source/decision/jobs/fleet_planner.h
@@ -29,6 +29,13 @@
     std::vector<std::string> labels = {};
 };
 
+// The VMs that the platform lists.
+struct fleet_vm_list {
+    std::vector<fleet_vm> vms = {};
+    // False if a part of the list could not be read. A VM that is not listed may exist then.
+    bool is_complete = true;
+};
+
 // A maintenance wave: operators request that each of these VMs is maintained once.
 struct wave_request {
     wave_name name = {};
@@ -107,7 +114,7 @@
     // `now` is a time after the waves were read.
     void set_waves(std::span<const wave_request> waves, absl::Time now);
     // Replaces the list of VMs. `listed_at` is a time before the list was requested.
-    void set_vms(std::span<const fleet_vm> vms, absl::Time listed_at);
+    void set_vms(const fleet_vm_list& list, absl::Time listed_at);
 
     // Returns the orders to send now and treats each as sent. Cordons workers in the scheduler and stops the
     // tasks that must leave them. Adds moves only while there are fewer than `maximum_orders` orders;
@@ -139,7 +146,7 @@
     enum class vm_presence {
         listed,
         terminated,  // The list was requested after the VM became known, and does not show it.
-        unknown,     // The list is too old to show the VM.
+        unknown,     // The list is too old to show the VM, or incomplete.
     };
 
     const fleet_vm* find(const vm_id& vm) const;
@@ -191,6 +198,7 @@
     std::map<wave_name, std::set<vm_id>> maintained_;
     std::map<vm_id, fleet_vm> vms_;
     absl::Time listed_at_ = absl::InfinitePast();
+    bool is_list_complete_ = true;
     // Orders whose effect the list of VMs does not show yet.
     std::map<vm_id, order_state> orders_;
     struct draining_vm {
--- a/source/jobs/vm_service.h
+++ b/source/jobs/vm_service.h
@@ -39,7 +39,7 @@
     virtual ~vm_service() = default;
 
     // Lists all VMs. The error message says why the list cannot be read.
-    virtual tl::expected<std::vector<fleet_vm>, std::string> list() = 0;
+    virtual tl::expected<fleet_vm_list, std::string> list() = 0;
     // Both orders end all runs on the VM. The VM returns with a new worker id.
     virtual vm_order_outcome move(const vm_id& vm, const pool_name& pool, const vm_order_issuer& issuer) = 0;
     virtual vm_order_outcome maintain(const vm_id& vm, const wave_name& wave,
--- a/tests/decision/jobs/fleet_planner_test.cpp
+++ b/tests/decision/jobs/fleet_planner_test.cpp
@@ -30,7 +30,7 @@
         list();
     }
 
-    void list() { planner.set_vms(vms, jobs.now); }
+    void list() { planner.set_vms({.vms = vms, .is_complete = is_list_complete}, jobs.now); }
     std::vector<vm_order> plan() { return planner.plan(jobs.scheduler, pools, jobs.now, 1000); }
     wave_request wave(int maximum_down) const {
         wave_request request{.name = wave_name("1"), .maximum_down = maximum_down};
@@ -42,6 +42,7 @@
 
     job_fixture jobs;
     std::vector<fleet_vm> vms;
+    bool is_list_complete = true;
     std::vector<worker_pool_rules> pools = {{.name = pool_name("p")},
                                             {.name = pool_name("off"), .is_standby = true}};
     fleet_planner planner{{}};
@@ -243,6 +244,30 @@
     CHECK(progress() == wave_progress::running);
 }
 
+// Guards against a part of the list that cannot be read and that is taken for VMs that were terminated: their
+// tasks would run twice, their orders be forgotten, and their waves be completed.
+TEST_CASE("an incomplete list does not show that a VM was terminated") {
+    planner_fixture fixture(1, 1);
+    const wave_request wave = fixture.wave(1);
+    fixture.planner.set_waves({&wave, 1}, fixture.jobs.now);
+    const auto orders = fixture.plan();
+    REQUIRE(orders.size() == 1);
+    fixture.planner.handle_order_outcome(orders[0], true, fixture.jobs.scheduler);
+    fixture.jobs.now += absl::Seconds(5);
+    fixture.vms.clear();
+    const auto terminated = [&] { return fixture.planner.terminated_workers(fixture.jobs.scheduler); };
+    fixture.is_list_complete = false;
+    fixture.list();
+    CHECK(terminated().empty());
+    CHECK(fixture.planner.has_pending_orders());
+    CHECK(fixture.planner.progress_of(wave) == wave_progress::unknown);
+    fixture.is_list_complete = true;
+    fixture.list();
+    CHECK(terminated().size() == 1);
+    CHECK_FALSE(fixture.planner.has_pending_orders());
+    CHECK(fixture.planner.progress_of(wave) == wave_progress::completed);
+}
+
 // Random waves on VMs that return late, with lost responses and outdated lists: there are never more VMs down
 // than allowed, every VM is maintained, and the wave is not complete before that.
 TEST_CASE("waves keep their limit of down VMs and complete") {
--- a/tests/jobs/owner_fakes.h
+++ b/tests/jobs/owner_fakes.h
@@ -79,14 +79,14 @@
 
 class fake_vm_service final : public vm_service {
 public:
-    tl::expected<std::vector<fleet_vm>, std::string> list() override {
+    tl::expected<fleet_vm_list, std::string> list() override {
         if (must_throw) {
             throw std::runtime_error("injected in the VM service");
         }
         if (is_unavailable) {
             return tl::unexpected(std::string("unavailable"));
         }
-        return vms;
+        return fleet_vm_list{.vms = vms};
     }
     vm_order_outcome move(const vm_id&, const pool_name&, const vm_order_issuer&) override {
         return vm_order_outcome::done;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -195,6 +195,17 @@
     CHECK_FALSE(parse_fleet_configuration(R"({"version":1,"routes":[{"name":5}]})").has_value());
 }
 
+// Guards against a state or a worker that cannot be read and that is taken for a VM without a worker.
+TEST_CASE("a row of the VM list with an unknown state or worker is unusable") {
+    const auto page = parse_vm_page(
+        R"({"machines":[{"machine":"a","pool":"p","state":"resting","id":"i"},)"
+        R"({"machine":"b","pool":"p","state":"up","id":7},{"machine":"c","pool":"p","state":"down"}]})");
+    REQUIRE(page.has_value());
+    CHECK(page->unusable_rows == 2);
+    REQUIRE(page->vms.size() == 1);
+    CHECK(page->vms[0].phase == fleet_vm_phase::down);
+}
+
 TEST_CASE("VM lists and wave requests are parsed") {
     const auto page = parse_vm_page(
         R"({"machines":[{"machine":"m-1","pool":"p","state":"upkeep","zone":"z","labels":["a"],)"
