Forget an expired job only after its keys were removed from the store

The owner took jobs past their retention out of the scheduler and then removed their keys. While the store was down that failed (removal_failed, five times, 10 jobs each), and nobody tried again. When the store forgot its history (watch_compacted), the owner read all inputs, found these keys, didn't know the jobs and took them for new ones.

A job stays known until its keys are removed, and a removal that failed is tried again. The same could happen without an outage, if the keys were removed while the inputs are read again: the two exclude each other now, and the removal, which is not urgent, waits. All keys of a job go in one transaction, and the keys of hand-over requests, which had the same fault without harm, in another.

--- a/source/decision/jobs/job_batches.cpp
+++ b/source/decision/jobs/job_batches.cpp
@@ -87,20 +87,23 @@
     return orders;
 }
 
-std::vector<std::pair<job_id, queue_name>> job_scheduler::take_expired(absl::Time ended_before,
-                                                                       std::size_t limit) {
+std::vector<std::pair<job_id, queue_name>> job_scheduler::expired_jobs(absl::Time ended_before,
+                                                                       std::size_t limit) const {
     std::vector<std::pair<job_id, queue_name>> expired;
-    for (auto job = jobs_.begin(); job != jobs_.end() && expired.size() < limit;) {
-        const bool is_expired = job->second->is_final() && job->second->ended_at() < ended_before &&
-                                !changed_jobs_.contains(job->first);
-        if (!is_expired) {
-            ++job;
-            continue;
+    for (const auto& [id, job] : jobs_) {
+        if (expired.size() == limit) {
+            break;
+        }
+        if (job->is_final() && job->ended_at() < ended_before && !changed_jobs_.contains(id)) {
+            expired.emplace_back(id, job->job_origin().queue);
         }
-        expired.emplace_back(job->first, job->second->job_origin().queue);
-        job = jobs_.erase(job);
     }
     return expired;
 }
 
+void job_scheduler::remove_job(const job_id& id) {
+    changed_jobs_.erase(id);
+    jobs_.erase(id);
+}
+
 }  // namespace masticpass
--- a/source/jobs/shard_inputs.cpp
+++ b/source/jobs/shard_inputs.cpp
@@ -88,6 +88,7 @@
 }
 
 bool shard_owner::read_inputs(store_revision& revision, bool is_initial) {
+    const std::lock_guard<std::mutex> inputs_lock(inputs_mutex_);
     const auto inputs = dependencies_.store.read_prefix(job_keys::input_prefix);
     if (!inputs || inputs->revision < revision) {
         return false;
@@ -112,7 +113,7 @@
     if (key == job_keys::hand_over_request(ownership_->fencing_token())) {
         is_hand_over_requested_ = true;
     } else {
-        obsolete_hand_over_requests_.push_back(key);
+        obsolete_hand_over_requests_.insert(key);
     }
 }
 
--- a/source/jobs/shard_owner.cpp
+++ b/source/jobs/shard_owner.cpp
@@ -40,6 +40,11 @@
 // Interval of the log events with the state of each pool.
 constexpr absl::Duration pool_report_interval = absl::Seconds(1);
 constexpr std::size_t maximum_expired_jobs_per_removal = 10;
+// Number of keys that the store has for one job.
+constexpr std::size_t keys_per_job = 3;
+// All keys of a job are removed in one transaction, so that no later owner finds only some of them.
+static_assert(maximum_expired_jobs_per_removal * keys_per_job <=
+              fenced_writer::maximum_entries_per_transaction);
 
 }  // namespace
 
@@ -391,26 +396,51 @@
 }
 
 void shard_owner::remove_expired_jobs() {
+    const std::unique_lock<std::mutex> inputs_lock(inputs_mutex_, std::try_to_lock);
+    if (!inputs_lock) {
+        return;
+    }
     std::vector<std::pair<job_id, queue_name>> expired;
-    std::vector<std::string> removals;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         if (dependencies_.time.now() < next_removal_) {
             return;
         }
         next_removal_ = dependencies_.time.now() + removal_interval;
-        expired = scheduler_.take_expired(absl::Now() - options_.retention, maximum_expired_jobs_per_removal);
-        removals = std::exchange(obsolete_hand_over_requests_, {});
+        expired = scheduler_.expired_jobs(absl::Now() - options_.retention, maximum_expired_jobs_per_removal);
     }
+    remove_obsolete_hand_over_requests();
+    std::vector<std::string> removals;
     for (const auto& [job, queue] : expired) {
         removals.push_back(job_keys::accepted(job));
         removals.push_back(job_keys::cancel_request(job));
         removals.push_back(job_keys::record(queue, job));
     }
-    if (!removals.empty() && !writer_.write({}, std::move(removals))) {
-        // The scheduler no longer has these jobs, so this owner does not try again. The next owner loads the
-        // jobs and removes their keys.
+    if (removals.empty()) {
+        return;
+    }
+    if (!writer_.write({}, std::move(removals))) {
         log_event(log_severity::warning, "removal_failed", {{"jobs", std::to_string(expired.size())}});
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [job, queue] : expired) {
+        scheduler_.remove_job(job);
+    }
+}
+
+void shard_owner::remove_obsolete_hand_over_requests() {
+    std::set<std::string> obsolete;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        obsolete = obsolete_hand_over_requests_;
+    }
+    if (obsolete.empty() || !writer_.write({}, {obsolete.begin(), obsolete.end()})) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const std::string& key : obsolete) {
+        obsolete_hand_over_requests_.erase(key);
     }
 }
 
--- a/source/jobs/shard_owner.h
+++ b/source/jobs/shard_owner.h
@@ -147,8 +147,10 @@
     void log_coverage_change(const worker_id& worker, std::optional<report_coverage> earlier);
     // Stores the changed records of jobs and sends the start orders that wait for them.
     void commit_batch();
-    // Removes the keys of jobs that ended longer than the retention ago, and of obsolete hand-over requests.
+    // Removes the keys of jobs that ended longer than the retention ago, and then the jobs. After an error
+    // the jobs remain, and the next call tries again. Does nothing while the inputs are read.
     void remove_expired_jobs();
+    void remove_obsolete_hand_over_requests();
     std::string serialize_known_workers() const;
     void request_plan();
     // Waits until the duration has passed or the term has ended. Returns false if the term has ended.
@@ -170,6 +172,9 @@
     const poll_interval_policy poll_interval_policy_;
     std::atomic<std::size_t> busy_worker_count_ = 0;
 
+    // Held while all inputs are read and while expired jobs are removed: a job that is removed during a read
+    // would be found in it and be taken for a new one. Locked before mutex_.
+    std::mutex inputs_mutex_;
     // Held from taking a batch until the batch is stored, so that an older record never overwrites a newer
     // one. Locked before mutex_.
     std::mutex batch_mutex_;
@@ -190,7 +195,7 @@
     std::map<job_id, std::string> loaded_records_;
     std::int64_t next_job_number_ = 0;
     // Keys of hand-over requests to earlier owners, which are to be removed.
-    std::vector<std::string> obsolete_hand_over_requests_;
+    std::set<std::string> obsolete_hand_over_requests_;
     bool must_plan_ = false;
     bool must_commit_ = false;
     std::int64_t rules_version_ = -1;
--- a/tests/decision/jobs/job_scheduler_test.cpp
+++ b/tests/decision/jobs/job_scheduler_test.cpp
@@ -444,8 +444,13 @@
     fixture.scheduler.cancel_job(job_id("j"));
     const absl::Time ended_at = fixture.now;
     fixture.scheduler.confirm_batch(fixture.scheduler.take_batch(ended_at), true);
-    CHECK(fixture.scheduler.take_expired(ended_at, 10).empty());
-    CHECK(fixture.scheduler.take_expired(ended_at + absl::Seconds(1), 10).size() == 1);
+    CHECK(fixture.scheduler.expired_jobs(ended_at, 10).empty());
+    const auto expired = fixture.scheduler.expired_jobs(ended_at + absl::Seconds(1), 10);
+    REQUIRE(expired.size() == 1);
+    // The job is known until its keys have been removed.
+    CHECK(fixture.scheduler.knows_job(expired[0].first));
+    fixture.scheduler.remove_job(expired[0].first);
+    CHECK_FALSE(fixture.scheduler.knows_job(expired[0].first));
     CHECK_FALSE(fixture.scheduler.knows_job(job_id("j")));
 }
 
--- a/tests/fakes/fake_configuration_store.cpp
+++ b/tests/fakes/fake_configuration_store.cpp
@@ -66,7 +66,16 @@
     if (!begin_call("read_prefix", prefix)) {
         return failure(store_error_kind::unavailable);
     }
-    return state_.range(prefix_range(prefix));
+    store_snapshot snapshot = state_.range(prefix_range(prefix));
+    call_hook response_hook;
+    {
+        const absl::MutexLock lock(&mutex_);
+        response_hook = response_hook_;
+    }
+    if (response_hook) {
+        response_hook("read_prefix", prefix);
+    }
+    return snapshot;
 }
 
 tl::expected<store_revision, store_error> fake_configuration_store::apply(
@@ -239,6 +248,11 @@
     hook_ = std::move(hook);
 }
 
+void fake_configuration_store::set_response_hook(call_hook hook) {
+    const absl::MutexLock lock(&mutex_);
+    response_hook_ = std::move(hook);
+}
+
 int fake_configuration_store::calls(std::string_view method) const {
     const absl::MutexLock lock(&mutex_);
     const auto found = calls_.find(method);
--- a/tests/fakes/fake_configuration_store.h
+++ b/tests/fakes/fake_configuration_store.h
@@ -56,6 +56,8 @@
     void compact() { state_.compact(); }
     void expire_lease(lease_id lease) { state_.revoke_lease(lease); }
     void set_hook(call_hook hook);
+    // Called after each call of read_prefix has read its entries, before it returns them.
+    void set_response_hook(call_hook hook);
 
     // Number of calls of a method so far.
     int calls(std::string_view method) const;
@@ -83,6 +85,7 @@
     int requests_to_delay_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<standin::transaction> delayed_requests_ ABSL_GUARDED_BY(mutex_);
     call_hook hook_ ABSL_GUARDED_BY(mutex_);
+    call_hook response_hook_ ABSL_GUARDED_BY(mutex_);
     std::map<std::string, int, std::less<>> calls_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/tests/jobs/shard_owner_test.cpp
+++ b/tests/jobs/shard_owner_test.cpp
@@ -17,6 +17,10 @@
 
 struct owner_fixture : owner_environment {
     void start() {
+        vms.vms = {{.vm = vm_id("m"),
+                    .pool = pool_name("p"),
+                    .phase = fleet_vm_phase::up,
+                    .worker = worker_id("w")}};
         owner = std::make_unique<shard_owner>(dependencies(), shard_owner::options{}, acquire());
         REQUIRE(fakes::wait_until([&] { return directory.calls > 0; }));
         CHECK(owner->is_active());
@@ -40,8 +44,94 @@
     std::unique_ptr<shard_owner> owner;
 };
 
+// An owner that loads a completed job, whose retention ends after a given time.
+struct completed_job_fixture : owner_fixture {
+    explicit completed_job_fixture(absl::Duration retention_left)
+        : record(write_job_record(
+              {.phase = job_phase::completed,
+               .ended_at = absl::Now() + retention_left - shard_owner::options{}.retention})) {
+        channels.are_workers_reachable = true;
+        const job_specification specification{
+            .steps = {{.per_task = {.cpu_millis = 1000, .memory_mb = 100}, .estimate = absl::Seconds(1)}}};
+        store.put(accepted_key, write_accepted_job({.queue = queue_name("q"),
+                                                    .accepted_at = absl::Now(),
+                                                    .specification = specification}));
+        store.put(record_key, record);
+        // The owner has no need to store this list, so it only removes keys.
+        store.put(job_keys::workers(0), R"({"w":"127.0.0.1:1"})");
+    }
+
+    // Makes the owner read its inputs again. Returns after it has done so.
+    void forget_history() {
+        const int earlier_reads = input_reads;
+        REQUIRE(fakes::wait_until([&] {
+            store.put("other", "");
+            store.compact();
+            return input_reads > earlier_reads;
+        }));
+    }
+    // Waits until the keys of the job are removed, and for two more reads of the directory. Returns whether
+    // the owner has written in the meantime that the job has not ended.
+    bool is_job_started() {
+        bool is_started = false;
+        const auto is_true = [&](const auto& condition) {
+            return fakes::wait_until([&] {
+                const std::string stored = store.value(record_key);
+                is_started = is_started || (!stored.empty() && stored != record);
+                return is_started || condition();
+            });
+        };
+        CHECK(is_true([&] { return store.value(accepted_key).empty(); }));
+        const int calls = directory.calls;
+        CHECK(is_true([&] { return directory.calls > calls + 2; }));
+        return is_started;
+    }
+
+    const job_id job{"5c0e7a21d94b36f8"};
+    const std::string accepted_key = job_keys::accepted(job);
+    const std::string record_key = job_keys::record(queue_name("q"), job);
+    const std::string record;
+    std::atomic<int> input_reads = 0;
+    std::atomic<int> removals = 0;
+};
+
 }  // namespace
 
+// Guards against completed jobs that run again, all of their tasks: the store failed while their keys were
+// removed, the owner had forgotten them already, and found the keys when it read its inputs again.
+TEST_CASE("a completed job does not run again if its removal fails and the store forgets its history") {
+    completed_job_fixture fixture(-absl::Hours(1));
+    std::atomic<bool> is_failing = true;
+    fixture.store.set_hook([&](std::string_view method, std::string_view key) {
+        fixture.input_reads += method == "read_prefix" && key == job_keys::input_prefix ? 1 : 0;
+        if (method == "transact" && key == job_keys::owner(0) && is_failing) {
+            fixture.store.lose_requests(1);
+            ++fixture.removals;
+        }
+    });
+    fixture.start();
+    // All attempts of one removal have failed.
+    REQUIRE(fakes::wait_until([&] { return fixture.removals >= 3; }));
+    fixture.forget_history();
+    is_failing = false;
+    CHECK_FALSE(fixture.is_job_started());
+}
+
+// Guards against the same fault where the keys are removed while the inputs are read.
+TEST_CASE("a completed job does not run again if it expires while the inputs are read") {
+    completed_job_fixture fixture(absl::Seconds(1));
+    fixture.store.set_response_hook([&](std::string_view, std::string_view key) {
+        // The second read is that after the history was discarded. It takes longer than the job is kept.
+        if (key == job_keys::input_prefix && ++fixture.input_reads == 2) {
+            fakes::wait_until([&] { return fixture.store.value(fixture.accepted_key).empty(); },
+                              absl::Seconds(3));
+        }
+    });
+    fixture.start();
+    fixture.forget_history();
+    CHECK_FALSE(fixture.is_job_started());
+}
+
 // Guards against an unexpected error in one thread of the owner that ends the process, or that leaves an
 // owner in office without that thread.
 TEST_CASE("an exception in a thread of the owner ends the term") {
