Don't run a job from its beginning because its record can't be read

Looked for beside the jobs that ran again after a removal: a new owner leaves out a job whose record is unreadable, since it doesn't know how far the job has come. When it read the inputs again, after the store had forgotten its history, the records were no longer at hand, and the job was taken for a new one. Such jobs are remembered for the term now.

--- a/source/jobs/shard_inputs.cpp
+++ b/source/jobs/shard_inputs.cpp
@@ -129,7 +129,7 @@
         return;
     }
     const auto id = job_keys::parse_job_id(entry.key, job_keys::accepted_prefix);
-    if (!id || scheduler_.knows_job(*id)) {
+    if (!id || scheduler_.knows_job(*id) || jobs_with_unreadable_record_.contains(*id)) {
         return;
     }
     auto job = parse_accepted_job(entry.value);
@@ -154,6 +154,7 @@
         if (!parsed) {
             log_event(log_severity::error, "job_record_unreadable",
                       {{"job", id->value()}, {"message", parsed.error()}});
+            jobs_with_unreadable_record_.insert(*id);
             return;
         }
         record = *std::move(parsed);
--- a/source/jobs/shard_owner.h
+++ b/source/jobs/shard_owner.h
@@ -193,6 +193,8 @@
     std::string stored_known_workers_;
     // Job records that earlier owners stored; empty after all jobs have been loaded.
     std::map<job_id, std::string> loaded_records_;
+    // Accepted jobs that do not run in this term, because how far they have come could not be read.
+    std::set<job_id> jobs_with_unreadable_record_;
     std::int64_t next_job_number_ = 0;
     // Keys of hand-over requests to earlier owners, which are to be removed.
     std::set<std::string> obsolete_hand_over_requests_;
--- a/tests/jobs/shard_owner_test.cpp
+++ b/tests/jobs/shard_owner_test.cpp
@@ -132,6 +132,22 @@
     CHECK_FALSE(fixture.is_job_started());
 }
 
+// Guards against a job that runs from its beginning because the record that says how far it has come could
+// not be read: the next read of the inputs took it for a new job.
+TEST_CASE("a job whose record is unreadable does not run, also after the store has forgotten its history") {
+    completed_job_fixture fixture(absl::Hours(1));
+    const std::string unreadable = "{";
+    fixture.store.put(fixture.record_key, unreadable);
+    fixture.store.set_hook([&](std::string_view method, std::string_view key) {
+        fixture.input_reads += method == "read_prefix" && key == job_keys::input_prefix ? 1 : 0;
+    });
+    fixture.start();
+    fixture.forget_history();
+    const int calls = fixture.directory.calls;
+    CHECK(fakes::wait_until([&] { return fixture.directory.calls > calls + 2; }));
+    CHECK(fixture.store.value(fixture.record_key) == unreadable);
+}
+
 // Guards against an unexpected error in one thread of the owner that ends the process, or that leaves an
 // owner in office without that thread.
 TEST_CASE("an exception in a thread of the owner ends the term") {
