Tell the placed run of a task from the highest run number that is known

A task that lasts had two runs for good. After a kill and a cut of its worker, the new owner had placed run 66 on another worker; then the first worker was back and listed the end of run 118 ('lapsed'). The owner raised the task's last run number to 118, compared the end with it, took the task for ended and placed it again as run 119, beside run 66.

The number of the run that is placed and the highest number that was ever seen were one field. They are two now, and only the end of the placed run returns the task to waiting. Two things follow: a run that is found working is kept, also if a run with a higher number has ended, in place of being stopped while its task starts elsewhere; and an end on a worker that must refuse the placed run there, because its number is lower, still frees the task.

--- a/source/decision/jobs/job_placement.cpp
+++ b/source/decision/jobs/job_placement.cpp
@@ -386,10 +386,7 @@
 
 void job_scheduler::plan_start(worker_state& worker, tracked_job& job, const task_name& name, run_number run,
                                absl::Time now) {
-    tracked_task* const task = job.find_task(name);
-    task->phase = task_phase::placed;
-    task->last_run_number = run;
-    task->is_ready = false;
+    job.find_task(name)->place(run);
     add_run(worker, name,
             {.run = run,
              .phase = run_phase::planned,
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -86,12 +86,11 @@
 void job_scheduler::return_to_waiting(const task_name& task, run_number run) {
     tracked_job* const job = find(task.job);
     tracked_task* const state = job == nullptr || job->is_final() ? nullptr : job->find_task(task);
-    if (state == nullptr || state->phase != task_phase::placed || state->last_run_number != run) {
+    if (state == nullptr || !state->is_placed_as(run)) {
         return;
     }
-    state->phase = task_phase::waiting;
+    state->return_to_waiting();
     waiting_jobs_.insert(task.job);
-    state->is_ready = false;
 }
 
 bool job_scheduler::handle_report(const worker_id& id, const worker_report& report, absl::Time sent_at,
@@ -133,11 +132,12 @@
             adopted.amount = required_resources(job->step_of(run.task));
             adopted.traits = traits_of(job->step_of(run.task));
         }
-        if (task != nullptr && task->phase == task_phase::waiting && run.run >= task->last_run_number) {
+        // The run is kept, whatever its number, if the task has no other. While it was being stopped, the
+        // task would start elsewhere.
+        if (task != nullptr && task->phase == task_phase::waiting) {
             adopted.phase = run_phase::running;
             adopted.last_progress_at = now;
-            task->phase = task_phase::placed;
-            task->last_run_number = run.run;
+            task->place(run.run);
             if (job->record_started()) {
                 changed_jobs_.insert(job->id());
             }
@@ -168,7 +168,7 @@
         placed.last_progress_at = now;
     }
     placed.load = run.load;
-    if (task == nullptr || task->last_run_number != run.run || task->phase != task_phase::placed) {
+    if (task == nullptr || !task->is_placed_as(run.run)) {
         return;
     }
     if (!run.checkpoint.empty()) {
@@ -178,8 +178,11 @@
 }
 
 void job_scheduler::handle_listed_end(worker_state& worker, const listed_end& end, absl::Time now) {
+    run_number ended_run = end.run;
     const auto placed = worker.runs.find(end.task);
     if (placed != worker.runs.end() && placed->second.run <= end.run) {
+        // The worker refuses the start of a run with a lower number than that of one that has ended there.
+        ended_run = placed->second.run;
         remove_run(worker, end.task);
     }
     tracked_job* const job = find(end.task.job);
@@ -244,7 +247,7 @@
         return;
     }
     task->last_run_number = std::max(task->last_run_number, end.run);
-    return_to_waiting(end.task, end.run);
+    return_to_waiting(end.task, ended_run);
 }
 
 bool job_scheduler::release_absent_runs(worker_state& worker, const worker_report& report, absl::Time sent_at,
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -193,8 +193,8 @@
     // Reports whether the batch was stored. Returns the start orders to send now.
     std::vector<worker_order> confirm_batch(const record_batch& batch, bool is_stored);
 
-    // Returns at most `limit` jobs that ended before this wall-clock time and whose records are not about to be
-    // stored.
+    // Returns at most `limit` jobs that ended before this wall-clock time and whose records are not about to
+    // be stored.
     std::vector<std::pair<job_id, queue_name>> expired_jobs(absl::Time ended_before, std::size_t limit) const;
     // Removes a job that has ended. Its keys must have been removed from the store before: a job whose keys
     // are found again would be taken for a new one.
--- a/source/decision/jobs/tracked_job.cpp
+++ b/source/decision/jobs/tracked_job.cpp
@@ -15,6 +15,19 @@
 
 }  // namespace
 
+void tracked_task::place(run_number run) {
+    phase = task_phase::placed;
+    placed_run = run;
+    last_run_number = std::max(last_run_number, run);
+    is_ready = false;
+}
+
+void tracked_task::return_to_waiting() {
+    phase = task_phase::waiting;
+    placed_run = 0;
+    is_ready = false;
+}
+
 bool tracked_occurrence::is_done() const {
     return std::all_of(steps.begin(), steps.end(), [](const tracked_step& step) { return step.is_done(); });
 }
@@ -170,6 +183,7 @@
         return false;
     }
     found->phase = task_phase::done;
+    found->placed_run = 0;
     ++find_occurrence(task.occurrence)->steps[static_cast<std::size_t>(task.step)].done_count;
     if (is_complete()) {
         phase_ = job_phase::completed;
--- a/source/decision/jobs/tracked_job.h
+++ b/source/decision/jobs/tracked_job.h
@@ -22,14 +22,21 @@
 
 struct tracked_task {
     task_phase phase = task_phase::waiting;
-    // Highest run number used so far.
+    // Highest run number that is known to be used. While the task is placed, an earlier owner may have used
+    // higher numbers than that of the placed run.
     run_number last_run_number = 0;
+    // The run that was placed; 0 unless the task is placed.
+    run_number placed_run = 0;
     // Failed runs. Each run counts once, however often its failure is reported.
     std::set<run_number> failed_runs = {};
     worker_id last_failed_worker = {};
     std::string checkpoint = {};
     // A long-running task is ready once its worker reports a progress of 100 percent.
     bool is_ready = false;
+
+    void place(run_number run);
+    bool is_placed_as(run_number run) const { return phase == task_phase::placed && placed_run == run; }
+    void return_to_waiting();
 };
 
 struct tracked_step {
--- a/tests/decision/jobs/owner_takeover_test.cpp
+++ b/tests/decision/jobs/owner_takeover_test.cpp
@@ -183,6 +183,65 @@
     }
 }
 
+// Guards against two runs of a task: an earlier owner used higher run numbers than its successor, and a late
+// end of one of its runs counted as the end of the successor's run, which worked on.
+TEST_CASE("the end of a run with a higher number does not end the run of this owner") {
+    takeover_fixture fixture(1);
+    fixture.report("w2", {});
+    fixture.scheduler.handle_lease_expired(worker_id("w1"), fixture.now);
+    fixture.scheduler.finish_recovery(fixture.now);
+    const auto starts = fixture.plan();
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].worker == worker_id("w2"));
+    const task_name task = starts[0].task;
+    fixture.scheduler.handle_start_outcome(starts[0], start_outcome::accepted, fixture.now);
+    const run_number later_run = starts[0].run + 50;
+    fixture.report(
+        "w1",
+        {.ended = {{.sequence_number = 1, .task = task, .run = later_run, .outcome = run_outcome::lapsed}}});
+    CHECK(fixture.plan().empty());
+    const auto& runs = fixture.scheduler.workers().at(worker_id("w2")).runs;
+    CHECK(runs.at(task).phase == run_phase::running);
+    fixture.report(
+        "w2",
+        {.ended = {
+             {.sequence_number = 1, .task = task, .run = starts[0].run, .outcome = run_outcome::failed}}});
+    const auto restarts = fixture.plan();
+    REQUIRE(restarts.size() == 1);
+    CHECK(restarts[0].run > later_run);
+}
+
+// Guards against two runs of a task: a run that works was stopped, and started elsewhere meanwhile, because
+// of the end of a run with a higher number.
+TEST_CASE("a found run is kept although a run with a higher number has ended") {
+    takeover_fixture fixture(1);
+    const task_name task = takeover_fixture::task(0);
+    fixture.report(
+        "w1", {.ended = {{.sequence_number = 1, .task = task, .run = 60, .outcome = run_outcome::lapsed}}});
+    fixture.report("w2", {.running = {{.task = task, .run = 20}}});
+    fixture.scheduler.finish_recovery(fixture.now);
+    CHECK(fixture.plan().empty());
+    CHECK(fixture.scheduler.workers().at(worker_id("w2")).runs.at(task).phase == run_phase::running);
+}
+
+// Guards against a task that never starts again: a worker has ended a run with a higher number than the one
+// that is placed there, and so will never execute its start.
+TEST_CASE("a task whose start a worker can no longer execute is placed again") {
+    takeover_fixture fixture(1);
+    fixture.report("w2", {});
+    fixture.report("w1", {});
+    fixture.scheduler.finish_recovery(fixture.now);
+    const auto starts = fixture.plan();
+    REQUIRE(starts.size() == 1);
+    fixture.report(starts[0].worker.value(), {.ended = {{.sequence_number = 1,
+                                                         .task = starts[0].task,
+                                                         .run = starts[0].run + 50,
+                                                         .outcome = run_outcome::lapsed}}});
+    const auto restarts = fixture.plan();
+    REQUIRE(restarts.size() == 1);
+    CHECK(restarts[0].run > starts[0].run + 50);
+}
+
 // Guards against a burst of run ends that keeps new tasks off a worker, or delays an owner's own tasks.
 TEST_CASE("a worker that has been covered completely stays so when many runs end at once") {
     takeover_fixture fixture(1);
