Store the highest run number of a job, so that a new owner begins above it

After a kill, a task that lasts got run 66 where its last run was 118. A term reserved 64 run numbers for each task, and nothing kept a task to them: one that fails, moves or is evicted more often in a term used the numbers of the next. A start with a used number is refused by the worker that ran it ('old', run 65 in the case), and the end of an earlier run passes for that of a later one.

The record of a job names its highest run number now. It costs no write: the record is stored before every start, since it names the workers. The numbers of the terms remain as a floor for records of earlier versions. Weighed: larger ranges, which keep the limit and only move it, and a number for each task, which makes the records of large jobs longer.

--- a/source/decision/jobs/job_json.cpp
+++ b/source/decision/jobs/job_json.cpp
@@ -313,6 +313,9 @@
     if (record.ended_at != absl::InfiniteFuture() && is_final(record.phase)) {
         absl::StrAppend(&text, R"(,"ended_ms":)", absl::ToUnixMillis(record.ended_at));
     }
+    if (record.last_run_number != 0) {
+        absl::StrAppend(&text, R"(,"last_run":)", record.last_run_number);
+    }
     append_list(text, "steps", record.steps, append_progress);
     append_list(text, "workers", record.workers, [](std::string& out, const worker_id& worker) {
         out.append(Json::valueToQuotedString(worker.value().c_str()));
@@ -332,6 +335,7 @@
             return tl::unexpected(std::string("unknown phase"));
         }
         job_record record{.phase = *phase, .is_timed = (*value)["timed"].asBool()};
+        record.last_run_number = (*value)["last_run"].asInt64();
         record.ended_at = value->isMember("ended_ms") ? absl::FromUnixMillis((*value)["ended_ms"].asInt64())
                                                       : absl::InfiniteFuture();
         for (const Json::Value& progress : (*value)["steps"]) {
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -124,6 +124,9 @@
                                       absl::Time now) {
     tracked_job* const job = find(run.task.job);
     tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_started_task(run.task);
+    if (task != nullptr && job->record_run_number(run.run)) {
+        changed_jobs_.insert(job->id());
+    }
     auto known = worker.runs.find(run.task);
     if (known == worker.runs.end()) {
         placed_run adopted{
@@ -201,6 +204,9 @@
     if (task == nullptr || task->phase == task_phase::done) {
         return;
     }
+    if (job->record_run_number(end.run)) {
+        changed_jobs_.insert(job->id());
+    }
     const job_step& step = job->step_of(end.task);
     if (!end.checkpoint.empty() && end.run >= task->last_run_number) {
         task->checkpoint = end.checkpoint;
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -114,7 +114,7 @@
 class job_scheduler {
 public:
     struct options {
-        // First run number for inherited jobs. Higher than all run numbers that earlier owners used.
+        // Lowest run number for inherited jobs. Their records raise it if earlier owners used higher ones.
         run_number first_inherited_run_number = 1;
         // Interval after which a stop order without a response is sent again.
         absl::Duration stop_retry_interval = absl::Milliseconds(300);
--- a/source/decision/jobs/tracked_job.cpp
+++ b/source/decision/jobs/tracked_job.cpp
@@ -108,6 +108,8 @@
     phase_ = record.phase;
     ended_at_ = record.ended_at;
     inherited_workers_ = record.workers;
+    inherited_last_run_number_ = record.last_run_number;
+    last_run_number_ = record.last_run_number;
     is_restored_ = true;
     if (is_final()) {
         return;
@@ -137,6 +139,7 @@
     if (is_final()) {
         return record;
     }
+    record.last_run_number = last_run_number_;
     for (const tracked_occurrence& occurrence : occurrences_) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             job_record::step_progress progress{.occurrence = occurrence.number,
@@ -163,6 +166,14 @@
     return record;
 }
 
+bool tracked_job::record_run_number(run_number run) {
+    if (run <= last_run_number_) {
+        return false;
+    }
+    last_run_number_ = run;
+    return true;
+}
+
 bool tracked_job::record_started() {
     if (phase_ != job_phase::queued) {
         return false;
--- a/source/decision/jobs/tracked_job.h
+++ b/source/decision/jobs/tracked_job.h
@@ -57,8 +57,8 @@
     bool is_done() const;
 };
 
-// The state of a job that is stored for later owners: its phase, the tasks that are done, and the failed runs
-// of the others.
+// The state of a job that is stored for later owners: its phase, the tasks that are done, the failed runs of
+// the others, and the highest run number.
 struct job_record {
     job_phase phase = job_phase::queued;
     bool is_timed = false;
@@ -76,6 +76,9 @@
         std::vector<failure> failures = {};
     };
     std::vector<step_progress> steps = {};
+    // No run of the job that was ordered has a higher number. Stored before a run is ordered, so that a new
+    // owner uses higher numbers. 0 in records of earlier versions.
+    run_number last_run_number = 0;
     // Every worker on which a run of the job may exist. Stored before a run is ordered there, so that a new
     // owner waits only for these workers.
     std::vector<worker_id> workers = {};
@@ -127,8 +130,11 @@
     // The run shows that an owner found the occurrence due, so the occurrence is created unless it exists.
     tracked_task* find_started_task(const task_name& task);
     run_number next_run_number(const tracked_task& task) const {
-        return std::max(task.last_run_number + 1, origin_.first_run_number);
+        return std::max({task.last_run_number + 1, inherited_last_run_number_ + 1, origin_.first_run_number});
     }
+    // Notes that a run of the job with this number was ordered. Returns whether the stored record must be
+    // updated.
+    bool record_run_number(run_number run);
     const job_step& step_of(const task_name& task) const {
         return specification_.steps[static_cast<std::size_t>(task.step)];
     }
@@ -171,6 +177,10 @@
     int next_due_occurrence_ = 0;
     std::vector<worker_id> inherited_workers_;
     bool is_restored_ = false;
+    // Highest run number that earlier owners stored.
+    run_number inherited_last_run_number_ = 0;
+    // Highest run number of any task.
+    run_number last_run_number_ = 0;
     absl::Duration critical_path_;
 };
 
--- a/source/jobs/shard_owner.cpp
+++ b/source/jobs/shard_owner.cpp
@@ -32,8 +32,8 @@
 // ends of tasks that no other task waits for are therefore stored, and then acknowledged, at this interval.
 constexpr absl::Duration full_commit_interval = absl::Milliseconds(250);
 constexpr absl::Duration vm_control_interval = absl::Milliseconds(100);
-// Size of the range of run numbers that each term reserves. The run numbers of a term are higher than those
-// of all earlier terms, unless a task was started more often than this in one term.
+// Records of earlier versions do not say which run numbers were used. The first run number of a term for
+// their jobs is above those of a task that was started at most this often in each earlier term.
 constexpr run_number run_numbers_per_term = 64;
 // Interval at which the keys of expired jobs are removed.
 constexpr absl::Duration removal_interval = absl::Seconds(1);
--- a/tests/decision/jobs/job_json_test.cpp
+++ b/tests/decision/jobs/job_json_test.cpp
@@ -51,12 +51,14 @@
 
 // Guards against task results that are lost at a change of owner.
 TEST_CASE("a job record is parsed as it was written") {
-    job_record record{.phase = job_phase::running, .is_timed = true};
+    job_record record{.phase = job_phase::running, .is_timed = true, .last_run_number = 65};
     record.steps.push_back(
         {.occurrence = 2, .step = 1, .done = {0, 3}, .failures = {{.index = 1, .run = 65}}});
     const auto read = parse_job_record(write_job_record(record));
     REQUIRE(read.has_value());
     CHECK(write_job_record(*read) == write_job_record(record));
+    CHECK(read->last_run_number == 65);
+    CHECK(parse_job_record(R"({"phase":"queued"})")->last_run_number == 0);
     CHECK_FALSE(parse_job_record("{}").has_value());
     CHECK_FALSE(parse_job_record("[1]").has_value());
     CHECK_FALSE(parse_job_record(R"({"phase":"running","steps":[3]})").has_value());
--- a/tests/decision/jobs/job_simulation.cpp
+++ b/tests/decision/jobs/job_simulation.cpp
@@ -144,9 +144,8 @@
     }
     owner_record_ = ++last_fencing_token_;
     owner_record_expires_at_ = now_ + limits_.time_to_live;
-    owners_.push_back(
-        std::make_unique<simulated_owner>(limits_, owner_record_, now_, term_++,
-                                          random_duration(-maximum_clock_error_ms, maximum_clock_error_ms)));
+    owners_.push_back(std::make_unique<simulated_owner>(
+        limits_, owner_record_, now_, random_duration(-maximum_clock_error_ms, maximum_clock_error_ms)));
     simulated_owner& owner = *owners_.back();
     const queue_rules queue{.name = queue_name("q"), .pool = pool_name("p"), .max_attempts = max_attempts};
     owner.scheduler.set_rules({&queue, 1}, {});
@@ -166,9 +165,13 @@
 void job_simulation::load_jobs(simulated_owner& owner) {
     for (const auto& [id, job] : jobs_) {
         if (owner.known_jobs.insert(id).second) {
+            job_record record = job.record;
+            if (options_.forgets_run_numbers) {
+                record.last_run_number = 0;
+            }
             owner.scheduler.add_job(
                 id, job.job, {.accepted_at = now_, .is_inherited = job.accepted_by < owner.fencing_token},
-                &job.record);
+                &record);
         }
         if (job.is_cancelled) {
             owner.scheduler.cancel_job(id);
--- a/tests/decision/jobs/job_simulation.h
+++ b/tests/decision/jobs/job_simulation.h
@@ -33,6 +33,7 @@
         bool acknowledges_before_storing = false;
         bool releases_all_runs_at_restart = false;
         bool takes_partial_reports_as_complete = false;
+        bool forgets_run_numbers = false;
     };
 
     explicit job_simulation(const options& options);
@@ -105,19 +106,16 @@
     };
     struct simulated_owner {
         simulated_owner(const ownership_limits& limits, fencing_token_value token, absl::Time now,
-                        std::int64_t term, absl::Duration clock_error)
-            : fencing_token(token),
-              granted_at(now),
-              wall_clock_error(clock_error),
-              lease(limits, now),
-              scheduler({.first_inherited_run_number = term * 64 + 1}) {}
+                        absl::Duration clock_error)
+            : fencing_token(token), granted_at(now), wall_clock_error(clock_error), lease(limits, now) {}
 
         fencing_token_value fencing_token;
         absl::Time granted_at;
         // By how much the owner's wall clock is ahead.
         absl::Duration wall_clock_error;
         owner_lease lease;
-        job_scheduler scheduler;
+        // Only the records say which run numbers earlier owners have used.
+        job_scheduler scheduler{{}};
         std::map<worker_id, worker_connection> connections = {};
         absl::Time paused_until = {};
         absl::Time next_renewal = {};
@@ -180,7 +178,6 @@
     fencing_token_value owner_record_ = 0;
     absl::Time owner_record_expires_at_ = {};
     fencing_token_value last_fencing_token_ = 10;
-    std::int64_t term_ = 0;
     std::vector<std::unique_ptr<simulated_owner>> owners_;
 };
 
--- a/tests/decision/jobs/job_simulation_test.cpp
+++ b/tests/decision/jobs/job_simulation_test.cpp
@@ -54,6 +54,9 @@
     SUBCASE("a report that lists some of the run ends counts as complete") {
         CHECK(first_failing_seed({.takes_partial_reports_as_complete = true}, 500, what) != 0);
     }
+    SUBCASE("a new owner does not know which run numbers were used") {
+        CHECK(first_failing_seed({.forgets_run_numbers = true}, 500, what) != 0);
+    }
     SUBCASE("a run end is acknowledged before its record is stored") {
         CHECK(first_failing_seed({.acknowledges_before_storing = true}, 500, what) != 0);
     }
--- a/tests/decision/jobs/owner_takeover_test.cpp
+++ b/tests/decision/jobs/owner_takeover_test.cpp
@@ -183,6 +183,36 @@
     }
 }
 
+// Guards against run numbers that are used a second time: a task that is restarted often in one term gets
+// higher numbers than those with which the next owner began.
+TEST_CASE("a new owner begins above every run number that earlier owners have used") {
+    job_fixture earlier;
+    earlier.add("j", {job_fixture::make_step(1)});
+    std::string record;
+    worker_order last;
+    for (int count = 0; count < 100; ++count) {
+        static_cast<void>(earlier.scheduler.plan(earlier.now, absl::ZeroDuration()));
+        const record_batch batch = earlier.scheduler.take_batch(earlier.now);
+        REQUIRE(batch.updates.size() == 1);
+        record = batch.updates[0].record;
+        const auto orders = earlier.scheduler.confirm_batch(batch, true);
+        REQUIRE(orders.size() == 1);
+        last = orders[0];
+        earlier.scheduler.handle_start_outcome(last, start_outcome::not_sent, earlier.now);
+    }
+    REQUIRE(last.run == 100);
+
+    job_fixture next;
+    const auto stored = parse_job_record(record);
+    REQUIRE(stored.has_value());
+    next.scheduler.add_job(
+        job_id("j"), {.queue = queue_name("q"), .specification = {.steps = {job_fixture::make_step(1)}}},
+        {.accepted_at = next.now, .is_inherited = true}, &*stored);
+    const auto starts = next.start_all();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run > last.run);
+}
+
 // Guards against two runs of a task: an earlier owner used higher run numbers than its successor, and a late
 // end of one of its runs counted as the end of the successor's run, which worked on.
 TEST_CASE("the end of a run with a higher number does not end the run of this owner") {
