--- a/source/decision/jobs/tracked_job.cpp
+++ b/source/decision/jobs/tracked_job.cpp
@@ -13,6 +13,10 @@
     return occurrence.number < number;
 }
 
+tracked_task& task_in(tracked_occurrence& occurrence, const task_name& task) {
+    return occurrence.steps[static_cast<std::size_t>(task.step)].tasks[static_cast<std::size_t>(task.index)];
+}
+
 }  // namespace
 
 void tracked_task::place(run_number run) {
@@ -82,19 +86,11 @@
 
 tracked_task* tracked_job::find_task(const task_name& task) {
     tracked_occurrence* const occurrence = has_task(task) ? find_occurrence(task.occurrence) : nullptr;
-    if (occurrence == nullptr) {
-        return nullptr;
-    }
-    return &occurrence->steps[static_cast<std::size_t>(task.step)]
-                .tasks[static_cast<std::size_t>(task.index)];
+    return occurrence == nullptr ? nullptr : &task_in(*occurrence, task);
 }
 
 tracked_task* tracked_job::find_started_task(const task_name& task) {
-    if (!has_task(task)) {
-        return nullptr;
-    }
-    find_or_create_occurrence(task.occurrence);
-    return find_task(task);
+    return has_task(task) ? &task_in(find_or_create_occurrence(task.occurrence), task) : nullptr;
 }
 
 bool tracked_job::is_step_ready(const tracked_occurrence& occurrence, int step) const {
--- a/source/jobs/job_keys.h
+++ b/source/jobs/job_keys.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPASS_JOBS_JOB_KEYS_H
 #define MASTICPASS_JOBS_JOB_KEYS_H
 
+#include <array>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -40,6 +42,13 @@
     return queue_record_prefix(queue) + job.value();
 }
 
+inline constexpr std::size_t keys_per_job = 3;
+
+// Returns all keys of one job.
+inline std::array<std::string, keys_per_job> all_of_job(const queue_name& queue, const job_id& job) {
+    return {accepted(job), cancel_request(job), record(queue, job)};
+}
+
 // Key that exists while a shard has an owner. It is bound to the owner's lease.
 inline std::string owner(int shard) {
     return std::string(owner_prefix) + std::to_string(shard);
