--- a/source/decision/jobs/fleet_planner.h
+++ b/source/decision/jobs/fleet_planner.h
@@ -50,7 +50,7 @@
 enum class wave_progress {
     running,    // A VM of the wave exists and has yet to be maintained.
     completed,  // Every VM of the wave that still exists was maintained.
-    unknown,    // One of these: whether the VMs that were not maintained exist is not known.
+    unknown,    // Running or completed: whether the VMs that were not maintained exist is not known.
 };
 
 struct vm_order {
--- a/tests/jobs/shard_owner_test.cpp
+++ b/tests/jobs/shard_owner_test.cpp
@@ -74,16 +74,16 @@
     // the owner has written in the meantime that the job has not ended.
     bool is_job_started() {
         bool is_started = false;
-        const auto is_true = [&](const auto& condition) {
+        const auto wait_for = [&](const auto& condition) {
             return fakes::wait_until([&] {
                 const std::string stored = store.value(record_key);
                 is_started = is_started || (!stored.empty() && stored != record);
                 return is_started || condition();
             });
         };
-        CHECK(is_true([&] { return store.value(accepted_key).empty(); }));
+        CHECK(wait_for([&] { return store.value(accepted_key).empty(); }));
         const int calls = directory.calls;
-        CHECK(is_true([&] { return directory.calls > calls + 2; }));
+        CHECK(wait_for([&] { return directory.calls > calls + 2; }));
         return is_started;
     }
 
