Refuse run numbers from which the next ones would overflow

Looked for beside the stored run numbers: one odd number in a worker's report, or in a record, would be kept by the record and raise the numbers of all tasks of the job for every later owner; near the limit of the type the next number overflows, and the job never starts again. Numbers are limited to 2^53 where they are decoded, and a row or record beyond that is unreadable.

--- a/source/decision/jobs/job_json.cpp
+++ b/source/decision/jobs/job_json.cpp
@@ -336,6 +336,9 @@
         }
         job_record record{.phase = *phase, .is_timed = (*value)["timed"].asBool()};
         record.last_run_number = (*value)["last_run"].asInt64();
+        if (record.last_run_number < 0 || record.last_run_number > maximum_run_number) {
+            return tl::unexpected(std::string("last_run is out of range"));
+        }
         record.ended_at = value->isMember("ended_ms") ? absl::FromUnixMillis((*value)["ended_ms"].asInt64())
                                                       : absl::InfiniteFuture();
         for (const Json::Value& progress : (*value)["steps"]) {
--- a/source/decision/jobs/job_types.h
+++ b/source/decision/jobs/job_types.h
@@ -23,6 +23,8 @@
 
 // Number of a run of a task; later runs have higher numbers.
 using run_number = std::int64_t;
+// Upper limit of the run numbers that come from outside, so that later numbers do not overflow.
+inline constexpr run_number maximum_run_number = run_number{1} << 53;
 // Increases with each new owner of a shard of jobs. Workers refuse orders with a token lower than the highest
 // they have seen.
 using fencing_token_value = std::int64_t;
--- a/tests/decision/jobs/job_json_test.cpp
+++ b/tests/decision/jobs/job_json_test.cpp
@@ -59,6 +59,8 @@
     CHECK(write_job_record(*read) == write_job_record(record));
     CHECK(read->last_run_number == 65);
     CHECK(parse_job_record(R"({"phase":"queued"})")->last_run_number == 0);
+    CHECK_FALSE(parse_job_record(R"({"phase":"queued","last_run":9223372036854775807})").has_value());
+    CHECK_FALSE(parse_job_record(R"({"phase":"queued","last_run":-1})").has_value());
     CHECK_FALSE(parse_job_record("{}").has_value());
     CHECK_FALSE(parse_job_record("[1]").has_value());
     CHECK_FALSE(parse_job_record(R"({"phase":"running","steps":[3]})").has_value());
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -108,6 +108,20 @@
     CHECK_FALSE(parse_poll_response("nothing").has_value());
 }
 
+// Guards against a number from which the next run numbers of a job, for all owners, would overflow.
+TEST_CASE("a run with a number out of range is unreadable") {
+    for (const std::string run : {"9223372036854775807", "9007199254740993", "-1", "1e300"}) {
+        INFO("run ", run);
+        const auto response = parse_poll_response(
+            R"({"clock_ms":5,"running":[["5c0e7a21d94b36f8.0.0.0",)" + run +
+            R"(,"",0]],"finished":[[1,"5c0e7a21d94b36f8.0.0.1",)" + run + R"(,"done",""]]})");
+        REQUIRE(response.has_value());
+        CHECK(response->report.running.empty());
+        CHECK(response->report.ended.empty());
+        CHECK(response->report.coverage == report_coverage::unreadable_runs);
+    }
+}
+
 // Guards against run ends that a new owner takes for absent: a worker lists at most 500 in one response.
 TEST_CASE("a response with the most run ends that a worker lists leaves others unlisted") {
     const auto coverage = [](int end_count) {
