--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,3 +1,4 @@
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include "platform/configuration.h"
@@ -113,8 +114,8 @@
     for (const std::string run : {"9223372036854775807", "9007199254740993", "-1", "1e300"}) {
         INFO("run ", run);
         const auto response = parse_poll_response(
-            R"({"clock_ms":5,"running":[["5c0e7a21d94b36f8.0.0.0",)" + run +
-            R"(,"",0]],"finished":[[1,"5c0e7a21d94b36f8.0.0.1",)" + run + R"(,"done",""]]})");
+            absl::StrCat(R"({"clock_ms":5,"running":[["5c0e7a21d94b36f8.0.0.0",)", run,
+                         R"(,"",0]],"finished":[[1,"5c0e7a21d94b36f8.0.0.1",)", run, R"(,"done",""]]})"));
         REQUIRE(response.has_value());
         CHECK(response->report.running.empty());
         CHECK(response->report.ended.empty());
