--- a/source/decision/jobs/job_json.cpp
+++ b/source/decision/jobs/job_json.cpp
@@ -1,5 +1,6 @@
 #include "decision/jobs/job_json.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <utility>
@@ -211,6 +212,14 @@
     text.push_back('}');
 }
 
+bool are_run_numbers_in_range(const job_record& record) {
+    return is_run_number_in_range(record.last_run_number) &&
+           std::all_of(record.steps.begin(), record.steps.end(), [](const auto& progress) {
+               return std::all_of(progress.failures.begin(), progress.failures.end(),
+                                  [](const auto& failure) { return is_run_number_in_range(failure.run); });
+           });
+}
+
 job_record::step_progress read_progress(const Json::Value& value) {
     job_record::step_progress progress{.occurrence = value["occurrence"].asInt(),
                                        .step = value["step"].asInt()};
@@ -336,9 +345,6 @@
         }
         job_record record{.phase = *phase, .is_timed = (*value)["timed"].asBool()};
         record.last_run_number = (*value)["last_run"].asInt64();
-        if (record.last_run_number < 0 || record.last_run_number > maximum_run_number) {
-            return tl::unexpected(std::string("last_run is out of range"));
-        }
         record.ended_at = value->isMember("ended_ms") ? absl::FromUnixMillis((*value)["ended_ms"].asInt64())
                                                       : absl::InfiniteFuture();
         for (const Json::Value& progress : (*value)["steps"]) {
@@ -347,6 +353,9 @@
         for (const Json::Value& worker : (*value)["workers"]) {
             record.workers.emplace_back(worker.asString());
         }
+        if (!are_run_numbers_in_range(record)) {
+            return tl::unexpected(std::string("a run number is out of range"));
+        }
         return record;
     } catch (const Json::Exception& error) {
         return tl::unexpected(std::string(error.what()));
--- a/source/decision/jobs/job_types.h
+++ b/source/decision/jobs/job_types.h
@@ -25,6 +25,11 @@
 using run_number = std::int64_t;
 // Upper limit of the run numbers that come from outside, so that later numbers do not overflow.
 inline constexpr run_number maximum_run_number = run_number{1} << 53;
+
+inline bool is_run_number_in_range(run_number run) {
+    return run >= 0 && run <= maximum_run_number;
+}
+
 // Increases with each new owner of a shard of jobs. Workers refuse orders with a token lower than the highest
 // they have seen.
 using fencing_token_value = std::int64_t;
--- a/tests/decision/jobs/job_json_test.cpp
+++ b/tests/decision/jobs/job_json_test.cpp
@@ -61,6 +61,9 @@
     CHECK(parse_job_record(R"({"phase":"queued"})")->last_run_number == 0);
     CHECK_FALSE(parse_job_record(R"({"phase":"queued","last_run":9223372036854775807})").has_value());
     CHECK_FALSE(parse_job_record(R"({"phase":"queued","last_run":-1})").has_value());
+    const char* const failure =
+        R"({"phase":"running","steps":[{"step":0,"failures":[[0,9223372036854775807]]}]})";
+    CHECK_FALSE(parse_job_record(failure).has_value());
     CHECK_FALSE(parse_job_record("{}").has_value());
     CHECK_FALSE(parse_job_record("[1]").has_value());
     CHECK_FALSE(parse_job_record(R"({"phase":"running","steps":[3]})").has_value());
