--- a/source/jobs/shard_records.cpp
+++ b/source/jobs/shard_records.cpp
@@ -104,7 +104,12 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         obsolete = obsolete_hand_over_requests_;
     }
-    if (obsolete.empty() || !writer_.write({}, {obsolete.begin(), obsolete.end()})) {
+    if (obsolete.empty()) {
+        return;
+    }
+    if (!writer_.write({}, {obsolete.begin(), obsolete.end()})) {
+        log_event(log_severity::warning, "removal_failed",
+                  {{"hand_over_requests", std::to_string(obsolete.size())}});
         return;
     }
     const std::lock_guard<std::mutex> lock(mutex_);
