Create the owner keys of four tests in one place

vm_controller_test wrote again what fenced_writer_test had, and shard_owner_test what job_record_writer_test had. The latter creation expects that there are no keys, so a test that makes the owner's transactions fail lets that one pass.

--- a/tests/jobs/fenced_writer_test.cpp
+++ b/tests/jobs/fenced_writer_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "fakes/fake_configuration_store.h"
+#include "jobs/owner_keys.h"
 
 namespace masticpass {
 
@@ -11,14 +12,7 @@
 struct writer_fixture {
     writer_fixture() { owner = take_over(); }
 
-    fenced_writer::owner_key take_over() {
-        store.remove("owner");
-        fenced_writer::owner_key key{
-            .key = "owner", .value = "me", .lease = *store.grant_lease(absl::Seconds(2))};
-        key.create_revision = *store.compare_and_swap("owner", 0, key.value, key.lease);
-        key.last_revision = key.create_revision;
-        return key;
-    }
+    fenced_writer::owner_key take_over() { return replace_owner_key(store); }
 
     fakes::fake_configuration_store store;
     metrics_registry metrics;
--- a/tests/jobs/job_record_writer_test.cpp
+++ b/tests/jobs/job_record_writer_test.cpp
@@ -4,27 +4,14 @@
 
 #include "fakes/fake_configuration_store.h"
 #include "jobs/job_keys.h"
+#include "jobs/owner_keys.h"
 
 namespace masticpass {
 
 namespace {
 
 struct partitions_fixture {
-    // Creates the keys as owner_election does.
-    fenced_writer::owner_key take_over() {
-        fenced_writer::owner_key key{.key = job_keys::owner(0), .value = "me"};
-        key.lease = *store.grant_lease(absl::Seconds(2));
-        store_transaction creation{.expectations = {{.key = key.key}},
-                                   .writes = {{.key = key.key, .value = key.value, .lease = key.lease}}};
-        for (std::size_t partition = 0; partition < job_record_writer::partition_count; ++partition) {
-            creation.expectations.push_back({.key = job_keys::owner_partition(0, partition)});
-            creation.writes.push_back(
-                {.key = job_keys::owner_partition(0, partition), .value = key.value, .lease = key.lease});
-        }
-        key.create_revision = *store.transact(creation);
-        key.last_revision = key.create_revision;
-        return key;
-    }
+    fenced_writer::owner_key take_over() { return create_owner_keys(store); }
 
     static std::vector<record_batch::update> make_updates(const std::string& record) {
         constexpr int jobs = 200;
--- a/tests/jobs/owner_fakes.h
+++ b/tests/jobs/owner_fakes.h
@@ -98,8 +98,9 @@
 
     std::atomic<bool> must_throw = false;
     std::atomic<bool> is_unavailable = false;
-    // Used only in tests in which no other thread calls the service.
+    // Set before another thread calls the service.
     std::vector<fleet_vm> vms = {};
+    // Used only in tests in which no other thread calls the service.
     std::vector<vm_id> maintained = {};
 };
 
--- a/tests/jobs/shard_owner_test.cpp
+++ b/tests/jobs/shard_owner_test.cpp
@@ -8,8 +8,8 @@
 
 #include "fakes/wait_until.h"
 #include "jobs/job_keys.h"
-#include "jobs/job_record_writer.h"
 #include "jobs/owner_fakes.h"
+#include "jobs/owner_keys.h"
 
 namespace masticpass {
 
@@ -26,19 +26,9 @@
         CHECK(owner->is_active());
     }
 
-    // Creates the keys as owner_election does.
     shard_owner::term acquire() {
         const absl::Time granted_at = time.now();
-        fenced_writer::owner_key key{.key = job_keys::owner(0), .value = "me"};
-        key.lease = *store.grant_lease(absl::Seconds(2));
-        store_transaction creation{.writes = {{.key = key.key, .value = key.value, .lease = key.lease}}};
-        for (std::size_t partition = 0; partition < job_record_writer::partition_count; ++partition) {
-            creation.writes.push_back(
-                {.key = job_keys::owner_partition(0, partition), .value = key.value, .lease = key.lease});
-        }
-        key.create_revision = *store.transact(creation);
-        key.last_revision = key.create_revision;
-        return {.key = key, .granted_at = granted_at};
+        return {.key = create_owner_keys(store), .granted_at = granted_at};
     }
 
     std::unique_ptr<shard_owner> owner;
@@ -92,7 +82,6 @@
     const std::string record_key = job_keys::record(queue_name("q"), job);
     const std::string record;
     std::atomic<int> input_reads = 0;
-    std::atomic<int> removals = 0;
 };
 
 }  // namespace
@@ -102,16 +91,19 @@
 TEST_CASE("a completed job does not run again if its removal fails and the store forgets its history") {
     completed_job_fixture fixture(-absl::Hours(1));
     std::atomic<bool> is_failing = true;
+    std::atomic<int> removals = 0;
     fixture.store.set_hook([&](std::string_view method, std::string_view key) {
         fixture.input_reads += method == "read_prefix" && key == job_keys::input_prefix ? 1 : 0;
-        if (method == "transact" && key == job_keys::owner(0) && is_failing) {
+        // Only the transactions after that which creates the owner key fail.
+        const bool is_owned = !fixture.store.value(job_keys::owner(0)).empty();
+        if (method == "transact" && key == job_keys::owner(0) && is_owned && is_failing) {
             fixture.store.lose_requests(1);
-            ++fixture.removals;
+            ++removals;
         }
     });
     fixture.start();
     // All attempts of one removal have failed.
-    REQUIRE(fakes::wait_until([&] { return fixture.removals >= 3; }));
+    REQUIRE(fakes::wait_until([&] { return removals >= 3; }));
     fixture.forget_history();
     is_failing = false;
     CHECK_FALSE(fixture.is_job_started());
--- a/tests/jobs/vm_controller_test.cpp
+++ b/tests/jobs/vm_controller_test.cpp
@@ -7,6 +7,7 @@
 
 #include "fakes/manual_clock.h"
 #include "jobs/owner_fakes.h"
+#include "jobs/owner_keys.h"
 
 namespace masticpass {
 
@@ -23,11 +24,7 @@
 
     // Replaces the controller by that of the next owner.
     void restart() {
-        store.remove("owner");
-        fenced_writer::owner_key key{
-            .key = "owner", .value = "me", .lease = *store.grant_lease(absl::Seconds(2))};
-        key.create_revision = *store.compare_and_swap("owner", 0, key.value, key.lease);
-        key.last_revision = key.create_revision;
+        const fenced_writer::owner_key key = replace_owner_key(store);
         owner.emplace(key.create_revision, ownership_limits{}, time.now(), time);
         controller.reset();
         writer.emplace(store, key, metrics);
