Ask once how old a list of VMs may be, and note run numbers in one way

Whether a list shows what became known at a time was asked twice in the planner, with two parts of the answer in different places. Whether a record must be stored for a run number was asked at two places and ignored at a third. No change of behaviour. Tests of jobs, platform and decision_jobs pass (36, 18 and 67 cases).

--- a/source/decision/jobs/fleet_planner.cpp
+++ b/source/decision/jobs/fleet_planner.cpp
@@ -94,8 +94,11 @@
     if (vms_.contains(vm)) {
         return vm_presence::listed;
     }
-    const bool would_be_listed = is_list_complete_ && known_since + limits_.list_delay < listed_at_;
-    return would_be_listed ? vm_presence::terminated : vm_presence::unknown;
+    return is_list_conclusive(known_since) ? vm_presence::terminated : vm_presence::unknown;
+}
+
+bool fleet_planner::is_list_conclusive(absl::Time known_since) const {
+    return is_list_complete_ && known_since + limits_.list_delay < listed_at_;
 }
 
 void fleet_planner::set_vms(const fleet_vm_list& list, absl::Time listed_at) {
@@ -109,9 +112,6 @@
 }
 
 std::vector<worker_id> fleet_planner::terminated_workers(const job_scheduler& scheduler) const {
-    if (!is_list_complete_) {
-        return {};
-    }
     std::set<worker_id> present;
     for (const auto& [id, vm] : vms_) {
         if (vm.phase == fleet_vm_phase::up) {
@@ -120,8 +120,7 @@
     }
     std::vector<worker_id> terminated;
     for (const auto& [id, worker] : scheduler.workers()) {
-        if (!present.contains(id) && !worker.is_terminated &&
-            worker.known_since + limits_.list_delay < listed_at_) {
+        if (!present.contains(id) && !worker.is_terminated && is_list_conclusive(worker.known_since)) {
             terminated.push_back(id);
         }
     }
--- a/source/decision/jobs/fleet_planner.h
+++ b/source/decision/jobs/fleet_planner.h
@@ -152,6 +152,8 @@
     const fleet_vm* find(const vm_id& vm) const;
     // `known_since` is when this owner learned of the VM.
     vm_presence presence_of(const vm_id& vm, absl::Time known_since) const;
+    // Returns whether the last list shows each VM and worker that became known at this time and still exists.
+    bool is_list_conclusive(absl::Time known_since) const;
     // Returns whether the VM has an order, is draining, or gets no orders because of block().
     bool is_reserved(const vm_id& vm, absl::Time now) const;
     // Number of draining VMs that have long-running tasks.
--- a/source/decision/jobs/job_placement.cpp
+++ b/source/decision/jobs/job_placement.cpp
@@ -387,7 +387,7 @@
 void job_scheduler::plan_start(worker_state& worker, tracked_job& job, const task_name& name, run_number run,
                                absl::Time now) {
     job.find_task(name)->place(run);
-    static_cast<void>(job.record_run_number(run));
+    record_run_number(job, run);
     add_run(worker, name,
             {.run = run,
              .phase = run_phase::planned,
--- a/source/decision/jobs/job_reports.cpp
+++ b/source/decision/jobs/job_reports.cpp
@@ -124,8 +124,8 @@
                                       absl::Time now) {
     tracked_job* const job = find(run.task.job);
     tracked_task* const task = job == nullptr || job->is_final() ? nullptr : job->find_started_task(run.task);
-    if (task != nullptr && job->record_run_number(run.run)) {
-        changed_jobs_.insert(job->id());
+    if (task != nullptr) {
+        record_run_number(*job, run.run);
     }
     auto known = worker.runs.find(run.task);
     if (known == worker.runs.end()) {
@@ -204,9 +204,7 @@
     if (task == nullptr || task->phase == task_phase::done) {
         return;
     }
-    if (job->record_run_number(end.run)) {
-        changed_jobs_.insert(job->id());
-    }
+    record_run_number(*job, end.run);
     const job_step& step = job->step_of(end.task);
     if (!end.checkpoint.empty() && end.run >= task->last_run_number) {
         task->checkpoint = end.checkpoint;
@@ -280,6 +278,12 @@
     }
 }
 
+void job_scheduler::record_run_number(tracked_job& job, run_number run) {
+    if (job.record_run_number(run)) {
+        changed_jobs_.insert(job.id());
+    }
+}
+
 void job_scheduler::handle_unreachable(const worker_id& id) {
     if (worker_state* const worker = find_worker(id)) {
         worker->is_reachable = false;
--- a/source/decision/jobs/job_scheduler.h
+++ b/source/decision/jobs/job_scheduler.h
@@ -266,6 +266,8 @@
     worker_order make_start_order(const record_batch::planned_start& start);
     // A task of the job has started on a worker.
     void record_task_started(const job_id& id);
+    // A run of the job with this number was ordered.
+    void record_run_number(tracked_job& job, run_number run);
     // Stops a run that is no longer needed.
     void stop_run(worker_state& worker, const task_name& task);
     std::string record_of(const tracked_job& job) const;
--- a/source/decision/jobs/tracked_job.cpp
+++ b/source/decision/jobs/tracked_job.cpp
@@ -28,7 +28,6 @@
 
 void tracked_task::return_to_waiting() {
     phase = task_phase::waiting;
-    placed_run = 0;
     is_ready = false;
 }
 
@@ -190,7 +189,6 @@
         return false;
     }
     found->phase = task_phase::done;
-    found->placed_run = 0;
     ++find_occurrence(task.occurrence)->steps[static_cast<std::size_t>(task.step)].done_count;
     if (is_complete()) {
         phase_ = job_phase::completed;
--- a/source/decision/jobs/tracked_job.h
+++ b/source/decision/jobs/tracked_job.h
@@ -25,7 +25,7 @@
     // Highest run number that is known to be used. While the task is placed, an earlier owner may have used
     // higher numbers than that of the placed run.
     run_number last_run_number = 0;
-    // The run that was placed; 0 unless the task is placed.
+    // The run that was placed. Has no meaning unless the task is placed.
     run_number placed_run = 0;
     // Failed runs. Each run counts once, however often its failure is reported.
     std::set<run_number> failed_runs = {};
--- a/source/jobs/vm_controller.cpp
+++ b/source/jobs/vm_controller.cpp
@@ -241,7 +241,7 @@
 
 void vm_controller::store_wave_states() {
     std::vector<store_write> writes;
-    std::vector<wave_request> reported;
+    std::vector<const wave_request*> reported;
     std::map<wave_name, stored_wave> next_stored_waves = stored_waves_;
     for (const wave_request& wave : planner_.waves()) {
         stored_wave& stored = next_stored_waves[wave.name];
@@ -250,20 +250,20 @@
         if (stored.reported != reported_before) {
             writes.push_back(
                 dependencies_.waves.status_write(wave.name, stored.reported == wave_progress::completed));
-            reported.push_back(wave);
+            reported.push_back(&wave);
         }
     }
     if (writes.empty() || !dependencies_.writer.write(std::move(writes), {})) {
         return;
     }
     stored_waves_ = std::move(next_stored_waves);
-    for (const wave_request& wave : reported) {
-        const stored_wave& stored = stored_waves_.at(wave.name);
+    for (const wave_request* const wave : reported) {
+        const stored_wave& stored = stored_waves_.at(wave->name);
         log_event(log_severity::info, "wave_reported",
-                  {{"wave", wave.name.value()},
+                  {{"wave", wave->name.value()},
                    {"progress", stored.reported == wave_progress::completed ? "completed" : "running"},
                    {"maintained", std::to_string(*stored.maintained_count)},
-                   {"vms", std::to_string(wave.vms.size())}});
+                   {"vms", std::to_string(wave->vms.size())}});
     }
 }
 
